--- /dev/null
+++ b/cmd/lotusbend/main.go
@@ -0,0 +1,80 @@
+// Command lotusbend routes the statements of PostgreSQL clients to the
+// primaries and replicas of sharded databases.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"lotusbend/internal/config"
+)
+
+// version is set by the linker in a release build.
+var version = "dev"
+
+type cli struct {
+	Serve       serveCmd       `cmd:"" help:"Serve clients until SIGTERM, as GW_CONFIG says."`
+	Version     versionCmd     `cmd:"" help:"Print the version."`
+	CheckConfig checkConfigCmd `cmd:"" help:"Check the configuration that GW_CONFIG names, and end."`
+}
+
+func main() {
+	k := kong.Parse(&cli{}, kong.Name("lotusbend"),
+		kong.Description("A router for sharded, replicated databases that speaks the PostgreSQL protocol."))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "lotusbend:", err)
+		os.Exit(1)
+	}
+}
+
+type versionCmd struct{}
+
+// Run implements the command.
+func (versionCmd) Run() error {
+	fmt.Println("lotusbend", version, runtime.Version())
+	return nil
+}
+
+type checkConfigCmd struct{}
+
+// Run implements the command.
+func (checkConfigCmd) Run() error {
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("configuration of %s is in order: %d classes, %d database hosts known\n",
+		c.Name, len(c.Settings.Config.Classes), len(c.Known.Hosts))
+	return nil
+}
+
+type serveCmd struct{}
+
+// Run implements the command.
+func (serveCmd) Run() error {
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	if c.MemoryMB > 0 {
+		// The collector works harder long before the platform's limit.
+		debug.SetMemoryLimit(int64(c.MemoryMB * (1 << 20) * memoryShare))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("router", c.Name)
+	return serve(ctx, c, log)
+}
+
+// memoryShare of the limit is for the heap; the rest is for stacks, the
+// binary and the system's buffers.
+const memoryShare = 0.6
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -8,8 +8,9 @@
 	"io"
 	"os"
 
-	"github.com/hallhook/hallhook/decide"
-	"github.com/hallhook/hallhook/internal/wire"
+	"lotusbend/decide"
+	"lotusbend/internal/settings"
+	"lotusbend/internal/wire"
 )
 
 func main() {
@@ -22,7 +23,7 @@
 // instance is one router with what translates for it.
 type instance struct {
 	router   *decide.Router
-	settings *wire.Settings
+	settings *settings.Settings
 }
 
 // host holds the instances by number and the lists that they share.
@@ -95,23 +96,24 @@
 	case wire.EvHalt:
 		delete(h.instances, ev.Instance)
 	case wire.EvPingResult:
-		in.router.Probed(now, in.settings.ProbeResult(ev.Probe))
+		in.router.Probed(now, decide.ProbeResult{Member: ev.Probe.Member, Outcome: ev.Probe.Outcome,
+			Note: in.settings.Report(ev.Probe.Values)})
 	}
 	return nil
 }
 
 // configure starts an instance anew.
 func (h *host) configure(batch wire.Batch, ev *wire.Event) error {
-	settings, err := wire.ParseSettings(ev.Settings)
+	set, err := settings.Parse(ev.Settings)
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", ev.Instance, err)
 	}
 	actions := &wire.Sender{Reply: &h.reply, Instance: ev.Instance}
-	router, err := decide.New(settings.Config, ev.Seed, actions)
+	router, err := decide.New(set.Config, ev.Seed, actions)
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", ev.Instance, err)
 	}
-	h.instances[ev.Instance] = &instance{router: router, settings: settings}
+	h.instances[ev.Instance] = &instance{router: router, settings: set}
 	router.Start(batch.Now)
 	return nil
 }
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"github.com/hallhook/hallhook/internal/wire"
+	"lotusbend/internal/wire"
 )
 
 // batch frames one record at the clock 0.
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/hallhook/hallhook/decide"
+	"lotusbend/decide"
 )
 
 // printer is the embedding router's side: it would send, answer and set
--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,419 @@
+// Package backend holds the connections to database hosts: it opens, reuses
+// and closes them, sends attempts and probes, and tells how each ended.
+package backend
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"lotusbend/decide"
+	"lotusbend/internal/clock"
+	"lotusbend/internal/netio"
+	"lotusbend/internal/pgwire"
+	"lotusbend/internal/router"
+	"lotusbend/internal/slots"
+)
+
+// Whom a database host welcomes.
+const (
+	user     = "app"
+	database = "shop"
+)
+
+// Events takes what becomes of attempts and probes, inside the loop's Do.
+type Events interface {
+	Ended(router.Attempt, router.Report)
+	Probed(host uint32, rep router.Report)
+}
+
+// Options are the limits that the settings give, in milliseconds.
+type Options struct {
+	ConnectTimeout float64
+	IdleTimeout    float64 // after which a database host closes
+}
+
+const (
+	defaultConnectTimeout = 250
+	defaultIdleTimeout    = 30000
+	// idleShare of the host's idle timeout is when we close: a request that
+	// crosses the host's own closing is lost to a reset.
+	idleShare = 0.8
+)
+
+// Pool is the connections to all database hosts. Its methods are called
+// inside the loop's Do.
+type Pool struct {
+	loop   *clock.Loop
+	opt    Options
+	budget *netio.Budget
+	events Events
+	hosts  map[uint32]*host
+	conns  slots.Table[conn]
+	jobs   slots.Table[job]
+}
+
+type host struct {
+	id      uint32
+	address string
+	idle    []*conn // the warmest last
+	waiting []*job  // for a connection
+	opening int     // connections not ready yet
+}
+
+// job is one attempt or probe.
+type job struct {
+	ref     slots.Ref
+	host    *host
+	probe   bool
+	attempt router.Attempt
+	stmt    router.Statement
+	until   float64
+	conn    *conn // nil while it waits for one
+	writing bool  // its bytes may or may not be with the system
+}
+
+type phase uint8
+
+const (
+	opening phase = iota // dialling, or before the first ReadyForQuery
+	idle
+	busy
+	closed
+)
+
+type conn struct {
+	ref     slots.Ref
+	pool    *Pool
+	host    *host
+	address string
+	link    *netio.Conn // nil while dialling
+	phase   phase
+	job     *job
+	idleAt  float64
+	reader  reader
+}
+
+// New returns a pool without hosts.
+func New(loop *clock.Loop, opt Options, budget *netio.Budget, events Events) *Pool {
+	if opt.ConnectTimeout <= 0 {
+		opt.ConnectTimeout = defaultConnectTimeout
+	}
+	if opt.IdleTimeout <= 0 {
+		opt.IdleTimeout = defaultIdleTimeout
+	}
+	return &Pool{loop: loop, opt: opt, budget: budget, events: events, hosts: map[uint32]*host{}}
+}
+
+// SetHost says where a host listens; usable is false for one that wants
+// nothing new, whose idle connections are closed.
+func (p *Pool) SetHost(id uint32, address string, usable bool) {
+	h := p.hosts[id]
+	if h == nil {
+		h = &host{id: id}
+		p.hosts[id] = h
+	}
+	if !usable || (address != "" && address != h.address) {
+		p.CloseIdle(id)
+	}
+	if address != "" {
+		h.address = address
+	}
+}
+
+// Send implements router.Hosts.
+func (p *Pool) Send(id uint32, a router.Attempt, s router.Statement, wait float64) slots.Ref {
+	return p.start(&job{attempt: a, stmt: s, until: p.loop.Now() + wait}, id)
+}
+
+// Probe implements router.Hosts.
+func (p *Pool) Probe(id uint32) {
+	j := &job{probe: true, until: p.loop.Now() + p.opt.ConnectTimeout}
+	ref := p.start(j, id)
+	p.loop.At(j.until, func() {
+		if j := p.jobs.Get(ref); j != nil {
+			p.abandon(j)
+			p.report(j, router.Report{Outcome: decide.TimedOut})
+		}
+	})
+}
+
+// start gives j a connection, now or when one is ready.
+func (p *Pool) start(j *job, id uint32) slots.Ref {
+	j.host = p.hosts[id]
+	j.ref = p.jobs.Add(j)
+	h := j.host
+	switch {
+	case h == nil || h.address == "":
+		p.loop.Post(func() { p.fail(j, decide.ConnectFailed) })
+	case len(h.idle) > 0:
+		c := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		p.write(c, j)
+	default:
+		h.waiting = append(h.waiting, j)
+		ref := j.ref
+		p.loop.At(p.loop.Now()+p.opt.ConnectTimeout, func() {
+			if j := p.jobs.Get(ref); j != nil && j.conn == nil {
+				p.fail(j, decide.ConnectFailed)
+			}
+		})
+		if h.opening < len(h.waiting) {
+			p.open(h)
+		}
+	}
+	return j.ref
+}
+
+// Cancel implements router.Hosts: an attempt is given up by closing its
+// connection.
+func (p *Pool) Cancel(sent slots.Ref) {
+	if j := p.jobs.Get(sent); j != nil {
+		p.abandon(j)
+		p.jobs.Remove(sent)
+	}
+}
+
+// abandon takes j off whatever it is at.
+func (p *Pool) abandon(j *job) {
+	if j.conn != nil {
+		c := j.conn
+		c.job, j.conn = nil, nil
+		p.close(c)
+	} else if h := j.host; h != nil {
+		h.waiting = slices.DeleteFunc(h.waiting, func(w *job) bool { return w == j })
+	}
+}
+
+// CloseIdle implements router.Hosts.
+func (p *Pool) CloseIdle(id uint32) {
+	if h := p.hosts[id]; h != nil {
+		for len(h.idle) > 0 {
+			p.close(h.idle[0])
+		}
+	}
+}
+
+// fail reports a job that has not ended yet.
+func (p *Pool) fail(j *job, o decide.Outcome) {
+	if p.jobs.Get(j.ref) == j {
+		p.abandon(j)
+		p.report(j, router.Report{Outcome: o})
+	}
+}
+
+// report ends j.
+func (p *Pool) report(j *job, rep router.Report) {
+	p.jobs.Remove(j.ref)
+	if j.probe {
+		p.events.Probed(j.host.id, rep)
+	} else {
+		p.events.Ended(j.attempt, rep)
+	}
+}
+
+// Connections.
+
+// open dials one more connection to h, if the process may hold one.
+func (p *Pool) open(h *host) {
+	if !p.budget.TakeHost() {
+		if !p.closeOldestIdle() || !p.budget.TakeHost() {
+			j := h.waiting[len(h.waiting)-1]
+			p.loop.Post(func() { p.fail(j, decide.ConnectFailed) })
+			return
+		}
+	}
+	c := &conn{pool: p, host: h, address: h.address, phase: opening}
+	c.ref = p.conns.Add(c)
+	h.opening++
+	timeout := clock.Duration(p.opt.ConnectTimeout)
+	p.loop.At(p.loop.Now()+p.opt.ConnectTimeout, func() {
+		if c.phase == opening {
+			p.close(c)
+		}
+	})
+	go c.dial(timeout)
+}
+
+// closeOldestIdle frees the socket that has been idle longest.
+func (p *Pool) closeOldestIdle() bool {
+	var oldest *conn
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].idleAt < oldest.idleAt) {
+			oldest = h.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.close(oldest)
+	return true
+}
+
+// dial runs in a goroutine of its own, as it waits for the host.
+func (c *conn) dial(timeout time.Duration) {
+	nc, err := netpoll.DialConnection("tcp", c.address, timeout)
+	c.pool.loop.Do(func() { c.pool.dialled(c, nc, err) })
+}
+
+func (p *Pool) dialled(c *conn, nc netpoll.Connection, err error) {
+	if err != nil {
+		p.openFailed(c, decide.ConnectFailed)
+		return
+	}
+	link := netio.NewConn(nc)
+	if c.phase == closed { // given up meanwhile
+		link.Close()
+		return
+	}
+	c.link = link
+	_ = nc.AddCloseCallback(func(netpoll.Connection) error { // the returned errors are always nil
+		p.loop.Do(func() { p.hungUp(c) })
+		return nil
+	})
+	_ = nc.SetOnRequest(c.onData)
+	if !nc.IsActive() { // it ended before the callbacks were there
+		p.loop.Post(func() { p.hungUp(c) })
+		link.Close()
+		return
+	}
+	link.Send(pgwire.AppendStartup(nil, user, database), nil)
+}
+
+// openFailed ends a connection that never came up, and the job that has
+// waited longest unless another connection is on its way to it.
+func (p *Pool) openFailed(c *conn, o decide.Outcome) {
+	if c.phase != opening {
+		return
+	}
+	p.close(c)
+	if h := c.host; len(h.waiting) > h.opening {
+		p.fail(h.waiting[0], o)
+	}
+}
+
+// ready gives a connection its next job or leaves it idle.
+func (p *Pool) ready(c *conn) {
+	h := c.host
+	if c.phase == opening {
+		h.opening--
+	}
+	if c.address != h.address {
+		c.phase = busy // so that close takes it off nothing
+		p.close(c)
+		if h.opening < len(h.waiting) {
+			p.open(h)
+		}
+		return
+	}
+	if len(h.waiting) > 0 {
+		j := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		p.write(c, j)
+		return
+	}
+	c.phase, c.idleAt = idle, p.loop.Now()
+	h.idle = append(h.idle, c)
+	at := c.idleAt
+	p.loop.At(at+idleShare*p.opt.IdleTimeout, func() {
+		if c.phase == idle && c.idleAt == at {
+			p.close(c)
+		}
+	})
+}
+
+// write sends j on c.
+func (p *Pool) write(c *conn, j *job) {
+	c.phase, c.job = busy, j
+	j.conn, j.writing = c, true
+	var b []byte
+	if j.probe {
+		b = pgwire.AppendQuery(nil, []byte("SHOW health"))
+	} else {
+		left := max(j.until-p.loop.Now(), 1)
+		s := j.stmt
+		wait := strconv.AppendInt(nil, int64(left), 10)
+		b = pgwire.AppendQuery(make([]byte, 0, len(s.Text)+32), s.Text[:s.From], wait, s.Text[s.To:])
+	}
+	ref := j.ref
+	c.link.Send(b, func(err error) { p.loop.Do(func() { p.written(ref, c, err) }) })
+}
+
+// written learns whether a job's last byte is with the system. A connection
+// that broke meanwhile has waited for this: only what was not written whole
+// has surely never run.
+func (p *Pool) written(ref slots.Ref, c *conn, err error) {
+	j := p.jobs.Get(ref)
+	if j == nil || j.conn != c {
+		return
+	}
+	j.writing = false
+	switch {
+	case err != nil:
+		p.fail(j, decide.ConnectFailed)
+	case c.phase == closed:
+		p.broke(c, j)
+	}
+}
+
+// hungUp learns that the connection has ended, by either side.
+func (p *Pool) hungUp(c *conn) {
+	switch j := c.job; {
+	case c.phase == opening:
+		p.openFailed(c, c.reader.startupOutcome())
+	case c.phase == busy && j != nil:
+		p.close(c)
+		if !j.writing {
+			p.broke(c, j)
+		}
+	default:
+		p.close(c)
+	}
+}
+
+// broke reports a job whose connection ended after its last byte was written.
+func (p *Pool) broke(c *conn, j *job) {
+	rep, whole := c.reader.report(j)
+	if !whole {
+		rep = router.Report{Outcome: decide.Reset}
+	}
+	c.job, j.conn = nil, nil
+	p.report(j, rep)
+}
+
+// close ends c; a job that is at it is left to the caller.
+func (p *Pool) close(c *conn) {
+	switch c.phase {
+	case closed:
+		return
+	case opening:
+		c.host.opening--
+	case idle:
+		c.host.idle = slices.DeleteFunc(c.host.idle, func(i *conn) bool { return i == c })
+	}
+	c.phase = closed
+	p.conns.Remove(c.ref)
+	p.budget.GiveHost()
+	if c.link != nil {
+		c.link.Close()
+	}
+}
+
+// answered ends the command at hand with its ReadyForQuery.
+func (p *Pool) answered(c *conn) {
+	switch {
+	case c.phase == opening:
+		p.ready(c)
+	case c.phase == busy && c.job != nil:
+		j := c.job
+		rep, whole := c.reader.report(j)
+		if !whole { // nothing but a ReadyForQuery: no answer in any terms
+			rep = router.Report{Outcome: decide.Error}
+		}
+		c.job, j.conn, j.writing = nil, nil, false
+		p.ready(c) // first, so that what the report leads to finds it
+		p.report(j, rep)
+	}
+}
--- /dev/null
+++ b/internal/frontend/frontend.go
@@ -0,0 +1,385 @@
+// Package frontend serves clients that speak the PostgreSQL protocol. It
+// turns their statements into the router's neutral requests and the router's
+// answers into messages.
+package frontend
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"log/slog"
+	"math"
+	"net"
+	"strconv"
+	"sync"
+
+	"github.com/cloudwego/netpoll"
+
+	"lotusbend/internal/clock"
+	"lotusbend/internal/netio"
+	"lotusbend/internal/pgwire"
+	"lotusbend/internal/router"
+	"lotusbend/internal/slots"
+)
+
+const (
+	// startupTimeout ends a connection that has not said whom it is for.
+	startupTimeout = 10000
+	// maxAhead bounds the statements that a client may send ahead of its answers.
+	maxAhead = 2 * pgwire.MaxMessage
+	// minAhead is what a queued message counts at least.
+	minAhead = 256
+)
+
+// Requests is what clients' statements go to, inside the loop's Do.
+type Requests interface {
+	Class(name []byte) (int, bool)
+	Submit(r router.Request, from router.Client, client slots.Ref) slots.Ref
+	Lapse(request slots.Ref)
+}
+
+// Server holds the clients' connections.
+type Server struct {
+	loop     *clock.Loop
+	log      *slog.Logger
+	budget   *netio.Budget
+	requests Requests
+	clients  slots.Table[client]
+	events   netpoll.EventLoop
+	listener net.Listener
+	closing  bool
+	shut     sync.Once
+}
+
+// client is one connection. What the owner's lock guards stands first; the
+// rest belongs to the connection's own callbacks.
+type client struct {
+	ref     slots.Ref
+	server  *Server
+	link    *netio.Conn
+	started bool
+	ended   bool
+	busy    bool
+	request slots.Ref
+	ahead   []message // in the order they came
+	size    int       // of ahead
+
+	greeted  bool
+	skipping bool // after an error in the extended protocol, until Sync
+}
+
+// message is one that waits for the answers before it.
+type message struct {
+	kind byte
+	body []byte
+}
+
+// Listen opens the socket for clients; it takes none before Serve.
+func Listen(address string, loop *clock.Loop, budget *netio.Budget, requests Requests, log *slog.Logger) (*Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{loop: loop, log: log, budget: budget, requests: requests, listener: ln}
+	s.events, err = netpoll.NewEventLoop(
+		func(ctx context.Context, nc netpoll.Connection) error { return fromContext(ctx).onData(nc) },
+		netpoll.WithOnPrepare(s.accepted))
+	if err != nil {
+		return nil, errors.Join(err, ln.Close())
+	}
+	return s, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve takes clients until Shut.
+func (s *Server) Serve() error { return s.events.Serve(s.listener) }
+
+type contextKey struct{}
+
+func fromContext(ctx context.Context) *client { return ctx.Value(contextKey{}).(*client) }
+
+// accepted gives a new connection its slot.
+func (s *Server) accepted(nc netpoll.Connection) context.Context {
+	c := &client{server: s, link: netio.NewConn(nc)}
+	s.loop.Do(func() {
+		if !s.budget.TakeClient() {
+			c.ended = true
+			c.link.Send(pgwire.AppendError(nil, "FATAL", pgwire.CodeTooManyConnections, "too many clients", ""), nil)
+			c.link.Finish()
+			return
+		}
+		c.ref = s.clients.Add(c)
+		s.loop.At(s.loop.Now()+startupTimeout, func() {
+			if !c.started && !c.ended {
+				c.link.Close()
+			}
+		})
+	})
+	_ = nc.AddCloseCallback(func(netpoll.Connection) error { // returns nil only
+		s.loop.Do(c.hungUp)
+		return nil
+	})
+	return context.WithValue(context.Background(), contextKey{}, c)
+}
+
+// hungUp learns that the connection has ended, by either side.
+func (c *client) hungUp() {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.link.Close()
+	c.server.clients.Remove(c.ref)
+	c.server.budget.GiveClient()
+	c.ahead = nil
+	if c.busy {
+		c.busy = false
+		c.server.requests.Lapse(c.request)
+	}
+}
+
+// onData reads messages; a partial one waits for its rest, in this
+// connection's own goroutine.
+func (c *client) onData(nc netpoll.Connection) error {
+	for nc.Reader().Len() > 0 {
+		read := c.readMessage
+		if !c.greeted {
+			read = c.readStartup
+		}
+		if err := read(nc.Reader()); err != nil {
+			c.link.Finish() // what was said before goes out first
+			_ = nc.Reader().Skip(nc.Reader().Len())
+			if errors.Is(err, errBye) {
+				return nil
+			}
+			return err
+		}
+		if err := nc.Reader().Release(); err != nil {
+			return nc.Close()
+		}
+	}
+	return nil
+}
+
+// errBye ends a connection without a fault.
+var errBye = errors.New("frontend: the client says goodbye")
+
+// readStartup reads one message of those that come before any other.
+func (c *client) readStartup(in netpoll.Reader) error {
+	head, err := in.Next(4)
+	if err != nil {
+		return err
+	}
+	n, err := pgwire.StartupLen(head)
+	if err != nil {
+		return err
+	}
+	body, err := in.Next(n)
+	if err != nil {
+		return err
+	}
+	switch code := pgwire.StartupCode(body); {
+	case code == pgwire.SSLRequest, code == pgwire.GSSRequest:
+		c.link.Send([]byte{'N'}, nil)
+		return nil
+	case code == pgwire.CancelRequest:
+		return errBye // a deadline does the same, sooner
+	case code>>16 != pgwire.Version3>>16:
+		c.link.Send(pgwire.AppendError(nil, "FATAL", pgwire.CodeUnsupported, "unsupported protocol version", ""), nil)
+		return errBye
+	}
+	c.greeted = true
+	b := pgwire.AppendAuthenticationOk(nil)
+	for _, p := range [...][2]string{
+		{"server_version", "15.0"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"},
+	} {
+		b = pgwire.AppendParameter(b, p[0], p[1])
+	}
+	b = pgwire.AppendReady(pgwire.AppendKeyData(b, c.ref.Slot, c.ref.Gen))
+	c.server.loop.Do(func() { c.started = true })
+	c.link.Send(b, nil)
+	return nil
+}
+
+// readMessage reads one message of a connection that is up. One that must
+// wait for the answers before it is copied; so is a statement.
+func (c *client) readMessage(in netpoll.Reader) error {
+	h, err := in.Next(pgwire.HeaderLen)
+	if err != nil {
+		return err
+	}
+	kind, n, err := pgwire.Header(h)
+	if err != nil {
+		c.link.Send(pgwire.AppendError(nil, "FATAL", pgwire.CodeProtocol, err.Error(), ""), nil)
+		return err
+	}
+	var body []byte
+	if n > 0 {
+		if body, err = in.Next(n); err != nil {
+			return err
+		}
+	}
+	if kind == pgwire.Terminate {
+		return errBye
+	}
+	c.server.loop.Do(func() {
+		if !c.busy {
+			err = c.handle(kind, body)
+			return
+		}
+		if c.size += max(len(body), minAhead); c.size > maxAhead {
+			err = errors.New("frontend: too much sent ahead")
+			return
+		}
+		c.ahead = append(c.ahead, message{kind, append([]byte(nil), body...)})
+	})
+	return err
+}
+
+// handle answers a message or hands its statement on. It runs inside Do.
+func (c *client) handle(kind byte, body []byte) error {
+	switch {
+	case kind == pgwire.Sync:
+		c.skipping = false
+		c.link.Send(pgwire.AppendReady(nil), nil)
+		return nil
+	case c.skipping, kind == pgwire.Flush:
+		return nil
+	case kind != pgwire.Query:
+		// The extended protocol: skip to its Sync, as PostgreSQL does.
+		c.skipping = true
+		c.link.Send(pgwire.AppendError(nil, "ERROR", pgwire.CodeUnsupported, "only simple queries are served", ""), nil)
+		return nil
+	}
+	text, err := pgwire.Text(body)
+	if err != nil {
+		c.reject(pgwire.CodeProtocol, err.Error())
+		return nil
+	}
+	if empty(text) {
+		c.link.Send(pgwire.AppendReady(pgwire.AppendEmptyQuery(nil)), nil)
+		return nil
+	}
+	return c.submit(append([]byte(nil), text...)) // it must outlive the read buffer
+}
+
+func empty(text []byte) bool {
+	for _, b := range text {
+		if b != ' ' && b != '\t' && b != '\r' && b != '\n' && b != ';' {
+			return false
+		}
+	}
+	return true
+}
+
+// submit hands a statement to the router.
+func (c *client) submit(text []byte) error {
+	s, err := pgwire.ParseStatement(text)
+	if err != nil {
+		c.reject(pgwire.CodeSyntax, err.Error())
+		return nil
+	}
+	class, ok := c.server.requests.Class(s.Class)
+	if !ok {
+		c.reject(pgwire.CodeSyntax, "unknown class "+strconv.Quote(string(s.Class)))
+		return nil
+	}
+	c.busy = true
+	ref := c.server.requests.Submit(router.Request{
+		Statement: router.Statement{Text: text, From: s.WaitAt, To: s.WaitTo},
+		Class:     class, Group: s.Cluster, Session: session(s.Key), After: s.After, Wait: s.Wait,
+	}, c.server, c.ref)
+	if c.busy { // else it has been answered already
+		c.request = ref
+	}
+	return nil
+}
+
+func session(key []byte) uint64 {
+	if len(key) == 0 {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = h.Write(key) // never fails
+	return max(h.Sum64(), 1)
+}
+
+// reject answers a statement that goes to no host.
+func (c *client) reject(code, message string) {
+	c.link.Send(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", code, message, "")), nil)
+}
+
+// Answer implements router.Client.
+func (s *Server) Answer(ref slots.Ref, a router.Answer) {
+	c := s.clients.Get(ref)
+	if c == nil || !c.busy {
+		return
+	}
+	c.busy = false
+	c.link.Send(pgwire.AppendReady(appendAnswer(nil, a)), nil)
+	if s.closing {
+		s.finish(c)
+		return
+	}
+	// What came ahead is taken after the event at hand: an answer must not
+	// lead back into the module.
+	if len(c.ahead) > 0 {
+		s.loop.Post(c.next)
+	}
+}
+
+// next takes up the messages that waited for an answer.
+func (c *client) next() {
+	for len(c.ahead) > 0 && !c.busy && !c.ended {
+		m := c.ahead[0]
+		c.ahead = c.ahead[1:]
+		c.size -= max(len(m.body), minAhead)
+		if err := c.handle(m.kind, m.body); err != nil {
+			c.link.Finish()
+		}
+	}
+}
+
+func appendAnswer(b []byte, a router.Answer) []byte {
+	switch a.Verdict {
+	case router.Served:
+		if a.Row.Found {
+			b = pgwire.AppendRowDescription(b, pgwire.Column{
+				Name: a.Row.Column, Type: a.Row.Type, Size: a.Row.Size, Binary: a.Row.Binary,
+			})
+			b = pgwire.AppendDataRow(b, a.Row.Value, a.Row.Null)
+		}
+		return pgwire.AppendComplete(b, a.Row.Tag)
+	case router.Refused:
+		detail := ""
+		if a.RetryAfter > 0 {
+			detail = strconv.Itoa(int(math.Floor(a.RetryAfter)))
+		}
+		return pgwire.AppendError(b, "ERROR", pgwire.CodeTooManyConnections, "refused: try again later", detail)
+	}
+	return pgwire.AppendError(b, "ERROR", pgwire.CodeCancelled, "the request failed; it may have had an effect", "")
+}
+
+// Drain lets clients go between their requests, from now on: those that are
+// idle now, the others after their answer. It runs inside Do.
+func (s *Server) Drain() {
+	s.closing = true
+	s.clients.Each(func(_ slots.Ref, c *client) {
+		if !c.busy {
+			s.finish(c)
+		}
+	})
+}
+
+// finish closes a connection that owes nothing.
+func (s *Server) finish(c *client) { c.link.Finish() }
+
+// Shut stops taking clients.
+func (s *Server) Shut() error {
+	var err error
+	s.shut.Do(func() { err = s.listener.Close() })
+	return err
+}
--- /dev/null
+++ b/internal/netio/netio.go
@@ -0,0 +1,167 @@
+// Package netio puts netpoll connections behind writes that never block the
+// caller, so that a slow peer stalls nobody, and counts sockets.
+package netio
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+const (
+	// maxUnsent bounds what one peer that does not read may cost.
+	maxUnsent    = 1 << 20
+	writeTimeout = 5 * time.Second
+)
+
+var errUnsent = errors.New("netio: the peer does not read")
+
+// Conn is one connection. Its methods may be called from anywhere and return
+// at once.
+type Conn struct {
+	nc       netpoll.Connection
+	mu       sync.Mutex
+	out      []byte
+	done     []func(error)
+	flushing bool
+	closing  bool // once all is flushed
+	closed   bool
+}
+
+// NewConn returns a Conn on nc.
+func NewConn(nc netpoll.Connection) *Conn {
+	_ = nc.SetWriteTimeout(writeTimeout) // the implementation returns nil only
+	return &Conn{nc: nc}
+}
+
+// Send writes a copy of b after what was sent before. done, if not nil, is
+// called once from another goroutine: with nil when the last byte of b is
+// with the system, with an error if it never got there.
+func (c *Conn) Send(b []byte, done func(error)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.closing || len(c.out)+len(b) > maxUnsent {
+		if done != nil {
+			go done(errUnsent)
+		}
+		if !c.closed && !c.closing {
+			c.abort()
+		}
+		return
+	}
+	c.out = append(c.out, b...)
+	if done != nil {
+		c.done = append(c.done, done)
+	}
+	if !c.flushing {
+		c.flushing = true
+		go c.flush()
+	}
+}
+
+// flush writes until nothing is left. Only one runs at a time; it alone may
+// wait for the peer.
+func (c *Conn) flush() {
+	var spare []byte
+	for {
+		c.mu.Lock()
+		b, done := c.out, c.done
+		if len(b) == 0 || c.closed {
+			c.flushing = false
+			if c.closing && !c.closed {
+				c.abort()
+			}
+			c.out, c.done = nil, nil
+			c.mu.Unlock()
+			for _, f := range done {
+				f(errUnsent)
+			}
+			return
+		}
+		c.out, c.done = spare[:0], nil
+		c.mu.Unlock()
+		_, err := c.nc.Write(b)
+		spare = b
+		for _, f := range done {
+			f(err)
+		}
+		if err != nil {
+			c.Close()
+		}
+	}
+}
+
+// Close ends the connection now. Close callbacks of the netpoll connection
+// run in another goroutine.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.abort()
+	}
+}
+
+// abort is called with the lock held. netpoll runs close callbacks inside
+// Close, and those take the owner's lock: hence the goroutine.
+func (c *Conn) abort() {
+	c.closed = true
+	go func() { _ = c.nc.Close() }()
+}
+
+// Finish ends the connection once all that was sent is with the system.
+func (c *Conn) Finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.closing {
+		return
+	}
+	if c.flushing {
+		c.closing = true
+		return
+	}
+	c.abort()
+}
+
+// Budget shares the process's descriptors among clients and database hosts.
+// It is part of the owner's state.
+type Budget struct {
+	Total   int // sockets that may be open
+	Clients int // of these, the most that clients may hold
+	clients int
+	hosts   int
+}
+
+// reserve is kept for the listener, pollers, discovery and the runtime.
+const reserve = 24
+
+// NewBudget divides a limit on descriptors.
+func NewBudget(descriptors int) *Budget {
+	total := max(descriptors-reserve, 2)
+	return &Budget{Total: total, Clients: max(total*3/4, 1)}
+}
+
+// TakeClient books a client's socket, if one is left.
+func (b *Budget) TakeClient() bool {
+	if b.clients >= b.Clients || b.clients+b.hosts >= b.Total {
+		return false
+	}
+	b.clients++
+	return true
+}
+
+// GiveClient returns it.
+func (b *Budget) GiveClient() { b.clients-- }
+
+// TakeHost books a socket to a database host, if one is left.
+func (b *Budget) TakeHost() bool {
+	if b.clients+b.hosts >= b.Total {
+		return false
+	}
+	b.hosts++
+	return true
+}
+
+// GiveHost returns it.
+func (b *Budget) GiveHost() { b.hosts-- }
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,348 @@
+// Package router carries events to the decision module and its actions to
+// whoever can carry them out. It knows requests, attempts and deadlines, and
+// no protocol.
+package router
+
+import (
+	"time"
+
+	"lotusbend/decide"
+	"lotusbend/internal/clock"
+	"lotusbend/internal/slots"
+)
+
+// Statement is what a database host is sent: the client's text, in which the
+// digits From to To tell how long the sender waits, in milliseconds.
+type Statement struct {
+	Text     []byte
+	From, To int
+	Write    bool // its answer's position is a commit
+}
+
+// Request is a client's request in no protocol's terms. Its Statement must
+// stay as it is until the request has no attempt left.
+type Request struct {
+	Statement Statement
+	Class     int
+	Group     int
+	Session   uint64  // 0 if none
+	After     float64 // Unix milliseconds of the session's last commit, 0 if none
+	Wait      float64 // milliseconds until the client gives up
+}
+
+// Row is a database host's answer: at most one value of one column.
+type Row struct {
+	Column []byte
+	Type   uint32 // PostgreSQL's number of the column's type
+	Size   int16
+	Binary bool
+	Found  bool // false: the answer has no row
+	Null   bool
+	Value  []byte
+	Tag    []byte // of the command, as the database host worded it
+}
+
+// Verdict says how a request ended.
+type Verdict uint8
+
+// The final answers.
+const (
+	Served  Verdict = iota
+	Refused         // trying again is harmless
+	Failed          // no promise about the effect
+)
+
+// Answer is the one final answer to a request. What Row refers to is valid
+// only during the call that brings it.
+type Answer struct {
+	Verdict    Verdict
+	Row        *Row    // of a served request
+	RetryAfter float64 // of a refused one, milliseconds, 0 for no advice
+}
+
+// Client takes final answers, each once.
+type Client interface {
+	Answer(client slots.Ref, a Answer)
+}
+
+// Attempt names one attempt at a request.
+type Attempt struct {
+	Request slots.Ref
+	Number  int
+}
+
+// Hosts carries out attempts and probes. Its methods do not block and do not
+// call back before they have returned; each attempt that was not cancelled
+// and each probe is reported once.
+type Hosts interface {
+	Send(host uint32, a Attempt, s Statement, wait float64) slots.Ref
+	Cancel(sent slots.Ref)
+	Probe(host uint32)
+	CloseIdle(host uint32)
+}
+
+// Report is how an attempt or a probe ended.
+type Report struct {
+	Outcome decide.Outcome
+	Note    decide.Note
+	Row     *Row // of one that was served; valid during the call
+}
+
+type attempt struct {
+	host uint32
+	sent slots.Ref // what the hosts call it
+	at   float64
+	out  bool
+}
+
+type request struct {
+	Request
+	id       uint64
+	from     Client
+	client   slots.Ref
+	deadline float64
+	attempts []attempt
+	out      int
+	done     bool
+}
+
+// Router is the module's embedding. All its methods are called inside the
+// loop's Do.
+type Router struct {
+	loop     *clock.Loop
+	cfg      decide.Config
+	module   *decide.Router
+	hosts    Hosts
+	requests slots.Table[request]
+	open     int // requests without their final answer
+}
+
+// New returns a router that lives in loop.
+func New(loop *clock.Loop, cfg decide.Config, seed uint64) (*Router, error) {
+	// Discovery keeps its watch by itself; the module need not ask.
+	cfg.MustAsk = false
+	r := &Router{loop: loop, cfg: cfg}
+	var err error
+	r.module, err = decide.New(cfg, seed, (*actions)(r))
+	return r, err
+}
+
+// Start begins the work on hosts with the list as last known.
+func (r *Router) Start(hosts Hosts, known []decide.Member) {
+	r.hosts = hosts
+	r.module.Start(r.now())
+	r.module.Listed(r.now(), decide.ListCached, known)
+}
+
+// now is the time on the module's clock, the Unix time.
+func (r *Router) now() time.Duration { return clock.Duration(r.loop.Now()) }
+
+// Class returns the number of a class by its name.
+func (r *Router) Class(name []byte) (int, bool) {
+	for i := range r.cfg.Classes {
+		if r.cfg.Classes[i].Name == string(name) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Open returns how many requests wait for their final answer.
+func (r *Router) Open() int { return r.open }
+
+// Listed takes news of the list of database hosts.
+func (r *Router) Listed(kind decide.ListKind, members []decide.Member) {
+	r.module.Listed(r.now(), kind, members)
+}
+
+// Submit takes a request. Its answer goes to from, which may name it by the
+// returned reference until then.
+func (r *Router) Submit(req Request, from Client, client slots.Ref) slots.Ref {
+	req.Statement.Write = r.cfg.Classes[req.Class].Consistency == decide.Write
+	q := &request{Request: req, from: from, client: client, deadline: r.loop.Now() + req.Wait}
+	ref := r.requests.Add(q)
+	q.id = ref.ID()
+	r.open++
+	r.loop.At(q.deadline, func() { r.expire(ref) })
+	var since time.Duration
+	if req.After > 0 {
+		since = max(r.now()-clock.Duration(req.After), 1)
+	}
+	session := req.Session
+	if r.cfg.Classes[req.Class].Consistency != decide.Write && r.cfg.Classes[req.Class].Consistency != decide.Session {
+		session = 0
+	}
+	r.module.Arrived(r.now(), decide.Request{
+		ID: q.id, Group: req.Group, Class: req.Class, Session: session, SinceWrite: since,
+		TimeLeft: clock.Duration(req.Wait),
+	})
+	return ref
+}
+
+// Lapse says that the client of a request has gone.
+func (r *Router) Lapse(ref slots.Ref) {
+	q := r.requests.Get(ref)
+	if q == nil || q.done {
+		return
+	}
+	q.done = true
+	r.open--
+	r.module.Lapsed(r.now(), q.id)
+	r.endAttempts(ref, q, decide.Cancelled)
+	r.release(ref, q)
+}
+
+// Ended takes the end of an attempt. A late one, of an attempt that was ended
+// otherwise, is passed over.
+func (r *Router) Ended(a Attempt, rep Report) {
+	q := r.requests.Get(a.Request)
+	if q == nil || a.Number >= len(q.attempts) || !q.attempts[a.Number].out {
+		return
+	}
+	r.end(a.Request, q, a.Number, rep)
+	r.release(a.Request, q)
+}
+
+// Probed takes the end of a probe.
+func (r *Router) Probed(host uint32, rep Report) {
+	r.module.Probed(r.now(), decide.ProbeResult{Member: host, Outcome: rep.Outcome, Note: rep.Note})
+}
+
+// end gives an attempt's end to the client, if it serves it, and to the module.
+func (r *Router) end(ref slots.Ref, q *request, n int, rep Report) {
+	at := &q.attempts[n]
+	at.out = false
+	q.out--
+	if rep.Outcome == decide.OK {
+		r.answer(q, Answer{Verdict: Served, Row: rep.Row})
+	}
+	r.module.Ended(r.now(), decide.Result{
+		Request: q.id, Attempt: n, Member: at.host, Outcome: rep.Outcome,
+		Latency: clock.Duration(r.loop.Now() - at.at), Over: q.done, Note: rep.Note,
+	})
+}
+
+// endAttempts ends whatever of q is out.
+func (r *Router) endAttempts(ref slots.Ref, q *request, o decide.Outcome) {
+	for n := range q.attempts {
+		if q.attempts[n].out {
+			r.hosts.Cancel(q.attempts[n].sent)
+			r.end(ref, q, n, Report{Outcome: o})
+		}
+	}
+}
+
+// expire is the client's deadline: what is out has timed out, and the module
+// answers. The module's own look at its requests comes a little later, so a
+// request that it still holds is failed here.
+func (r *Router) expire(ref slots.Ref) {
+	q := r.requests.Get(ref)
+	if q == nil {
+		return
+	}
+	r.endAttempts(ref, q, decide.TimedOut)
+	if !q.done {
+		r.answer(q, Answer{Verdict: Failed})
+		r.module.Lapsed(r.now(), q.id)
+	}
+	r.release(ref, q)
+}
+
+// answer gives q its final answer, once.
+func (r *Router) answer(q *request, a Answer) {
+	if q.done {
+		return
+	}
+	q.done = true
+	r.open--
+	q.from.Answer(q.client, a)
+}
+
+// release frees the slot of a request of which nothing is left.
+func (r *Router) release(ref slots.Ref, q *request) {
+	if q.done && q.out == 0 {
+		r.requests.Remove(ref)
+	}
+}
+
+// actions is the Router as the module sees it. Nothing here calls back into
+// the module: what must come back at once is posted.
+type actions Router
+
+// Send implements decide.Actions.
+func (a *actions) Send(id uint64, host uint32, timeout time.Duration) {
+	r, ref := (*Router)(a), slots.FromID(id)
+	q := r.requests.Get(ref)
+	if q == nil {
+		return
+	}
+	n, now := len(q.attempts), r.loop.Now()
+	wait := q.deadline - now
+	if timeout > 0 {
+		wait = min(wait, clock.Millis(timeout))
+	}
+	tag := Attempt{ref, n}
+	q.attempts = append(q.attempts, attempt{host: host, at: now, out: true})
+	q.out++
+	if q.done || wait <= 0 || (r.cfg.MaxAttempts > 0 && n >= r.cfg.MaxAttempts) {
+		r.loop.Post(func() { r.Ended(tag, Report{Outcome: decide.Moot}) })
+		return
+	}
+	q.attempts[n].sent = r.hosts.Send(host, tag, q.Statement, wait)
+	if now+wait < q.deadline {
+		r.loop.At(now+wait, func() { r.timeOut(tag) })
+	}
+}
+
+// timeOut is the deadline of one attempt that ends before its client's.
+func (r *Router) timeOut(a Attempt) {
+	q := r.requests.Get(a.Request)
+	if q == nil || !q.attempts[a.Number].out {
+		return
+	}
+	r.hosts.Cancel(q.attempts[a.Number].sent)
+	r.end(a.Request, q, a.Number, Report{Outcome: decide.TimedOut})
+	r.release(a.Request, q)
+}
+
+// Cancel implements decide.Actions.
+func (a *actions) Cancel(id uint64, n int) {
+	r, ref := (*Router)(a), slots.FromID(id)
+	q := r.requests.Get(ref)
+	if q == nil || n >= len(q.attempts) || !q.attempts[n].out {
+		return
+	}
+	r.hosts.Cancel(q.attempts[n].sent)
+	r.loop.Post(func() { r.Ended(Attempt{ref, n}, Report{Outcome: decide.Cancelled}) })
+}
+
+// Refuse implements decide.Actions.
+func (a *actions) Refuse(id uint64, retryAfter time.Duration) {
+	a.final(id, Answer{Verdict: Refused, RetryAfter: clock.Millis(retryAfter)})
+}
+
+// Fail implements decide.Actions.
+func (a *actions) Fail(id uint64) { a.final(id, Answer{Verdict: Failed}) }
+
+func (a *actions) final(id uint64, ans Answer) {
+	r, ref := (*Router)(a), slots.FromID(id)
+	if q := r.requests.Get(ref); q != nil {
+		r.answer(q, ans)
+		r.loop.Post(func() { r.release(ref, q) })
+	}
+}
+
+// Probe implements decide.Actions.
+func (a *actions) Probe(host uint32) { a.hosts.Probe(host) }
+
+// CloseIdle implements decide.Actions.
+func (a *actions) CloseIdle(host uint32) { a.hosts.CloseIdle(host) }
+
+// Watch implements decide.Actions. Discovery keeps its watch by itself.
+func (a *actions) Watch() {}
+
+// SetTimer implements decide.Actions.
+func (a *actions) SetTimer(after time.Duration, token uint32) {
+	r := (*Router)(a)
+	r.loop.At(r.loop.Now()+clock.Millis(after), func() { r.module.Timer(r.now(), token) })
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,166 @@
+// Package settings reads the settings object, which the simulator sends and
+// a router's configuration file holds in the same form, into the decisions'
+// configuration.
+package settings
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"lotusbend/decide"
+	"lotusbend/internal/clock"
+)
+
+// Settings is the decisions' configuration and what lies around it.
+type Settings struct {
+	Config         decide.Config
+	PositionZero   time.Duration // from which the simulator counts positions
+	Zones          []string
+	ConnIdle       float64 // milliseconds
+	ConnectTimeout float64
+	positionAt     int // index of x0 in a report, -1 if it has none
+	roleAt         int // index of x1
+}
+
+// The names of a report's values that are read.
+const (
+	FieldPosition = "x0" // in seconds
+	FieldRole     = "x1" // 1 from a primary
+)
+
+var semantics = map[string]decide.Repeat{
+	"pure": decide.Pure, "token": decide.Keyed, "side_effect": decide.Unsafe,
+}
+var scopes = map[string]decide.Scope{
+	"cell": decide.ScopeGroup, "zone": decide.ScopeZone, "all": decide.ScopeAll,
+}
+var consistencies = map[string]decide.Consistency{
+	"write": decide.Write, "fresh": decide.Fresh, "session": decide.Session,
+	"bounded": decide.Bounded, "any": decide.Any,
+}
+var checks = map[string]decide.Check{
+	"off": decide.Unchecked, "refuse": decide.RefuseStale, "wait": decide.WaitStale,
+}
+
+// Parse reads the settings from JSON.
+func Parse(data []byte) (*Settings, error) {
+	v, err := fastjson.ParseBytes(data)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return From(v)
+}
+
+// From reads the settings from a parsed object. Unknown keys are skipped;
+// what the decisions cannot do without is an error.
+func From(v *fastjson.Value) (*Settings, error) {
+	classes, info, limits, rules := v.GetArray("Classes"), v.Get("FamilyInfo"), v.Get("Limits"), v.Get("Rules")
+	if len(classes) == 0 || info == nil || limits == nil || rules == nil {
+		return nil, fmt.Errorf("settings: Classes, FamilyInfo, Limits and Rules are needed")
+	}
+	reads, bounds := info.GetArray("ClassRead"), info.GetArray("OldestDataMs")
+	if len(reads) != len(classes) {
+		return nil, fmt.Errorf("settings: %d classes, %d entries of ClassRead", len(classes), len(reads))
+	}
+	check, ok := checks[text(info, "WhenBehind")]
+	if !ok {
+		return nil, fmt.Errorf("settings: unknown WhenBehind %q", text(info, "WhenBehind"))
+	}
+	fields := texts(v.GetArray("Feedback", "Fields"))
+	s := &Settings{
+		PositionZero: millis(info, "PositionZeroMs"), Zones: texts(v.GetArray("Zones")),
+		ConnIdle: limits.GetFloat64("ConnIdleMs"), ConnectTimeout: limits.GetFloat64("ConnectTimeoutMs"),
+		positionAt: slices.Index(fields, FieldPosition), roleAt: slices.Index(fields, FieldRole),
+	}
+	s.Config = decide.Config{
+		Zone:    v.GetInt("Locality"),
+		Routers: int(max(1, min(v.GetFloat64("FleetSize"), math.MaxInt32))),
+		Check:   check, Patience: millis(info, "PatienceMs"), Positions: info.GetBool("Stamps"),
+		Carried:     text(info, "Tokens") == "carried",
+		ReportsRole: s.positionAt >= 0 && s.roleAt >= 0 && text(v.Get("Feedback"), "Via") != "off",
+		MustAsk:     text(v, "Discovery") == "ask",
+		AskWithin:   millis(rules, "AskWithinMs"),
+		MaxAttempts: limits.GetInt("MaxAttempts"),
+		Parallel:    limits.GetBool("ParallelTries"), Probes: limits.GetBool("Probes"),
+		Cancels: limits.GetBool("Cancelling"), RetryAfter: limits.GetBool("RetryAfter"),
+		MaxRetryWait:  millis(limits, "MaxRetryAfterMs"),
+		StartCapacity: rules.GetFloat64("StartCapacity"), ColdFor: millis(rules, "ColdMs"),
+		OverloadFactor: rules.GetFloat64("OverloadFactor"), OverloadFor: millis(rules, "OverloadForMs"),
+		RemovalBinds: !rules.GetBool("RemovalNotBinding"),
+	}
+	for i, c := range classes {
+		cl := decide.Class{
+			Name: text(c, "Name"), Aim: millis(c, "AimMs"), Deadline: millis(c, "GiveUpMs"),
+			Worth: c.GetFloat64("Importance"), LateWorth: c.GetFloat64("LateWorth"),
+			KeyTTL: millis(c, "KeyTtlMs"),
+		}
+		read, _ := reads[i].StringBytes()
+		var ok1, ok2 bool
+		cl.Repeat, ok1 = semantics[text(c, "Semantics")]
+		cl.Consistency, ok2 = consistencies[string(read)]
+		if !ok1 || !ok2 {
+			return nil, fmt.Errorf("settings: class %q: unknown semantics %q or read %q",
+				cl.Name, text(c, "Semantics"), read)
+		}
+		cl.Scope, ok = scopes[text(c, "Group")]
+		if !ok && cl.Repeat == decide.Keyed {
+			return nil, fmt.Errorf("settings: class %q: unknown group %q", cl.Name, text(c, "Group"))
+		}
+		if cl.Consistency == decide.Bounded {
+			if i >= len(bounds) {
+				return nil, fmt.Errorf("settings: class %q has no OldestDataMs", cl.Name)
+			}
+			cl.Bound = clock.Duration(bounds[i].GetFloat64())
+		}
+		s.Config.Classes = append(s.Config.Classes, cl)
+	}
+	return s, nil
+}
+
+func text(v *fastjson.Value, key string) string { return string(v.GetStringBytes(key)) }
+
+func millis(v *fastjson.Value, key string) time.Duration { return clock.Duration(v.GetFloat64(key)) }
+
+func texts(vs []*fastjson.Value) []string {
+	var out []string
+	for _, v := range vs {
+		b, _ := v.StringBytes()
+		out = append(out, string(b))
+	}
+	return out
+}
+
+// Note puts the position of an answer in the simulator on the router's clock.
+func (s *Settings) Note(n decide.Note) decide.Note {
+	if n.Position > 0 {
+		n.Position += s.PositionZero
+	}
+	return n
+}
+
+// Report reads the values of a probe's report in the simulator, given in the
+// order of the settings.
+func (s *Settings) Report(values []float32) decide.Note {
+	var n decide.Note
+	if s.roleAt >= 0 && s.roleAt < len(values) {
+		switch values[s.roleAt] {
+		case 1:
+			n.Role = decide.RolePrimary
+		case 0:
+			n.Role = decide.RoleReplica
+		}
+	}
+	if s.positionAt >= 0 && s.positionAt < len(values) {
+		// A float32 of seconds is as coarse as a millisecond after hours: round
+		// down by one unit in the last place.
+		sec := math.Nextafter32(values[s.positionAt], 0)
+		if sec > 0 && !math.IsInf(float64(sec), 0) {
+			n.Position = s.PositionZero + clock.Duration(float64(sec)*1e3)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,65 @@
+package settings
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"lotusbend/decide"
+)
+
+const example = `{"Classes": [{"AimMs": 600, "GiveUpMs": 2500, "Group": "all", "Importance": 2, "KeyTtlMs": 5000,
+	"LateWorth": 0, "Name": "read", "Semantics": "pure", "Streamed": false}], "Discovery": "ask", "New": [1],
+	"FamilyInfo": {"ClassRead": ["bounded"], "OldestDataMs": [300], "PatienceMs": 50, "PositionZeroMs": 1000,
+	"Stamps": false, "Tokens": "carried", "WhenBehind": "wait"},
+	"Feedback": {"Fields": ["x0", "x1"], "Via": "on_probe"}, "Limits": {"MaxAttempts": 10, "Probes": true},
+	"Rules": {"RemovalNotBinding": true, "ColdMs": 17000}}`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(example))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := s.Config
+	if c.Classes[0].Bound != 300*time.Millisecond || !c.MustAsk || !c.ReportsRole || c.RemovalBinds ||
+		c.Check != decide.WaitStale || !c.Carried || !c.Probes {
+		t.Errorf("config %+v", c)
+	}
+	n := s.Report([]float32{2, 1})
+	if n.Role != decide.RolePrimary || n.Position > 3*time.Second || n.Position < 2999*time.Millisecond {
+		t.Errorf("note %+v", n)
+	}
+	if n := s.Report([]float32{1}); n.Role != decide.RoleUnknown {
+		t.Errorf("short report gave %+v", n)
+	}
+}
+
+func TestParseSettingsErrors(t *testing.T) {
+	for name, text := range map[string]string{
+		"not JSON":     "x",
+		"empty":        "{}",
+		"wrong number": strings.Replace(example, `["bounded"]`, `["bounded", "any"]`, 1),
+		"no bound":     strings.Replace(example, `[300]`, `[]`, 1),
+		"bad read":     strings.Replace(example, `["bounded"]`, `["x"]`, 1),
+		"bad effect":   strings.Replace(example, `"pure"`, `"x"`, 1),
+		"bad check":    strings.Replace(example, `"wait"`, `"x"`, 1),
+	} {
+		if _, err := Parse([]byte(text)); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+func TestFleetSizeIsOneRouterAtLeast(t *testing.T) {
+	for size, want := range map[string]int{"0": 1, "-3": 1, "0.5": 1, "130": 130, "1e300": math.MaxInt32} {
+		text := strings.Replace(example, `"Feedback"`, `"FleetSize": `+size+`, "Feedback"`, 1)
+		s, err := Parse([]byte(text))
+		if err != nil || s.Config.Routers != want {
+			t.Errorf("FleetSize %s: %v, %v", size, s, err)
+		}
+	}
+	if s, err := Parse([]byte(example)); err != nil || s.Config.Routers != 1 {
+		t.Errorf("no FleetSize: %v, %v", s, err)
+	}
+}
--- /dev/null
+++ b/internal/slots/slots.go
@@ -0,0 +1,68 @@
+// Package slots keeps connections and requests in tables of numbered slots.
+package slots
+
+// Ref names a slot at one generation. A reference kept past the end of what
+// it named finds nothing, so a late event harms no successor.
+type Ref struct{ Slot, Gen uint32 }
+
+// ID packs a reference into one number, never 0 for one that a Table made.
+func (r Ref) ID() uint64 { return uint64(r.Gen)<<32 | uint64(r.Slot) }
+
+// FromID unpacks what ID packed.
+func FromID(id uint64) Ref { return Ref{uint32(id), uint32(id >> 32)} }
+
+// maxGen keeps an ID below 2^52, as the decisions' simulator does.
+const maxGen = 1<<20 - 1
+
+type slot[T any] struct {
+	gen   uint32
+	value *T
+}
+
+// Table is a table of slots. The zero Table is empty and ready.
+type Table[T any] struct {
+	slots []slot[T]
+	free  []uint32
+}
+
+// Add puts v into a free slot.
+func (t *Table[T]) Add(v *T) Ref {
+	if len(t.free) == 0 {
+		t.slots = append(t.slots, slot[T]{})
+		t.free = append(t.free, uint32(len(t.slots)-1))
+	}
+	n := t.free[len(t.free)-1]
+	t.free = t.free[:len(t.free)-1]
+	s := &t.slots[n]
+	s.gen = s.gen%maxGen + 1
+	s.value = v
+	return Ref{n, s.gen}
+}
+
+// Get returns what r names, nil if that has gone.
+func (t *Table[T]) Get(r Ref) *T {
+	if int(r.Slot) >= len(t.slots) || t.slots[r.Slot].gen != r.Gen {
+		return nil
+	}
+	return t.slots[r.Slot].value
+}
+
+// Remove frees the slot that r names.
+func (t *Table[T]) Remove(r Ref) {
+	if t.Get(r) != nil {
+		t.slots[r.Slot].value = nil
+		t.free = append(t.free, r.Slot)
+	}
+}
+
+// Len returns how many slots are taken.
+func (t *Table[T]) Len() int { return len(t.slots) - len(t.free) }
+
+// Each calls do for everything in the table.
+func (t *Table[T]) Each(do func(Ref, *T)) {
+	for i := range t.slots {
+		if v := t.slots[i].value; v != nil {
+			do(Ref{uint32(i), t.slots[i].gen}, v)
+		}
+	}
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -10,7 +10,8 @@
 	"math"
 	"time"
 
-	"github.com/hallhook/hallhook/decide"
+	"lotusbend/decide"
+	"lotusbend/internal/clock"
 )
 
 // Event codes.
@@ -345,17 +346,11 @@
 	return decide.RoleUnknown
 }
 
-// maxMs keeps times far from overflow: over thirty years.
+// maxMs is the latest clock of the simulator, over thirty years.
 const maxMs = 1e12
 
 // millis reads a time in milliseconds; what is no time at all becomes zero.
-func millis(ms float64) time.Duration {
-	if math.IsNaN(ms) {
-		return 0
-	}
-	ms = max(-maxMs, min(maxMs, ms))
-	return time.Duration(math.Round(ms*1e3)) * time.Microsecond
-}
+func millis(ms float64) time.Duration { return clock.Duration(ms) }
 
 // Reply collects the actions that answer one batch.
 type Reply struct {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,12 +6,11 @@
 	"encoding/hex"
 	"errors"
 	"io"
-	"math"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/hallhook/hallhook/decide"
+	"lotusbend/decide"
 )
 
 func unhex(t *testing.T, s string) []byte {
@@ -137,59 +136,3 @@
 		_, _ = decode(b) // must not panic
 	})
 }
-
-const settings = `{"Classes": [{"AimMs": 600, "GiveUpMs": 2500, "Group": "all", "Importance": 2, "KeyTtlMs": 5000,
-	"LateWorth": 0, "Name": "read", "Semantics": "pure", "Streamed": false}], "Discovery": "ask", "New": [1],
-	"FamilyInfo": {"ClassRead": ["bounded"], "OldestDataMs": [300], "PatienceMs": 50, "PositionZeroMs": 1000,
-	"Stamps": false, "Tokens": "carried", "WhenBehind": "wait"},
-	"Feedback": {"Fields": ["x0", "x1"], "Via": "on_probe"}, "Limits": {"MaxAttempts": 10, "Probes": true},
-	"Rules": {"RemovalNotBinding": true, "ColdMs": 17000}}`
-
-func TestParseSettings(t *testing.T) {
-	s, err := ParseSettings([]byte(settings))
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := s.Config
-	if c.Classes[0].Bound != 300*time.Millisecond || !c.MustAsk || !c.ReportsRole || c.RemovalBinds ||
-		c.Check != decide.WaitStale || !c.Carried || !c.Probes {
-		t.Errorf("config %+v", c)
-	}
-	r := s.ProbeResult(ProbeReport{Values: []float32{2, 1}})
-	if r.Note.Role != decide.RolePrimary || r.Note.Position > 3*time.Second ||
-		r.Note.Position < 2999*time.Millisecond {
-		t.Errorf("note %+v", r.Note)
-	}
-	if r := s.ProbeResult(ProbeReport{Values: []float32{1}}); r.Note.Role != decide.RoleUnknown {
-		t.Errorf("short report gave %+v", r.Note)
-	}
-}
-
-func TestParseSettingsErrors(t *testing.T) {
-	for name, text := range map[string]string{
-		"not JSON":     "x",
-		"empty":        "{}",
-		"wrong number": strings.Replace(settings, `["bounded"]`, `["bounded", "any"]`, 1),
-		"no bound":     strings.Replace(settings, `[300]`, `[]`, 1),
-		"bad read":     strings.Replace(settings, `["bounded"]`, `["x"]`, 1),
-		"bad effect":   strings.Replace(settings, `"pure"`, `"x"`, 1),
-		"bad check":    strings.Replace(settings, `"wait"`, `"x"`, 1),
-	} {
-		if _, err := ParseSettings([]byte(text)); err == nil {
-			t.Errorf("%s: no error", name)
-		}
-	}
-}
-
-func TestFleetSizeIsOneRouterAtLeast(t *testing.T) {
-	for size, want := range map[string]int{"0": 1, "-3": 1, "0.5": 1, "130": 130, "1e300": math.MaxInt32} {
-		text := strings.Replace(settings, `"Feedback"`, `"FleetSize": `+size+`, "Feedback"`, 1)
-		s, err := ParseSettings([]byte(text))
-		if err != nil || s.Config.Routers != want {
-			t.Errorf("FleetSize %s: %v, %v", size, s, err)
-		}
-	}
-	if s, err := ParseSettings([]byte(settings)); err != nil || s.Config.Routers != 1 {
-		t.Errorf("no FleetSize: %v, %v", s, err)
-	}
-}
