Refuse a request held unsent for half of its client's wait

Ruled out: sockets, the way to the first attempt is 0.25 ms in the median and descriptors stay under 90.

At fault: hopeless() and watchOver() in decide.go know only the aim and the deadline.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,6 +49,8 @@
 	scarceFor    = 10 * time.Second       // after a refused connection none is kept idle: others may need it
 	unreachable  = 2                      // failures in a row after which another primary is looked for
 	forgetAfter  = 30 * time.Second       // an outcome or a gone member is waited for no longer
+	holdShare    = 0.5                    // of its wait that a request may be held unsent
+	holdMargin   = 2 * beat               // before it, for the way of the answer
 	beatToken    = 1
 )
 
@@ -102,6 +104,7 @@
 	class                             *Class
 	g                                 *group
 	aimAt, expires, token, ranSince   time.Duration
+	heldUntil                         time.Duration // it is given up if nothing was sent by then
 	attempts                          []attempt
 	draw                              float64 // held against the shares of reads let in
 	out, ranZone, earns               int     // earns: repeats expected if it is given up
@@ -209,6 +212,7 @@
 	g.gap, g.usedAt = smooth(g.gap, min(now-g.usedAt, time.Second), smoothing), now
 	q := &request{Request: in, class: &r.cfg.Classes[in.Class], g: g, earns: 2, draw: r.rng.Float64()}
 	q.expires = now + max(in.TimeLeft, 0)
+	q.heldUntil = now + time.Duration(holdShare*float64(max(in.TimeLeft, 0))) - holdMargin
 	q.aimAt = min(now+q.class.Aim-r.spent(q), q.expires)
 	if !r.cfg.Carried {
 		q.token = max(g.floor, g.tokens[in.Session])
@@ -823,6 +827,8 @@
 			r.giveUp(q)
 		} else if m := r.pick(q, now); m != nil {
 			r.send(q, m, now)
+		} else if len(q.attempts) == 0 && now >= q.heldUntil {
+			r.giveUp(q)
 		}
 	}
 	r.scout(g, now)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -531,6 +531,21 @@
 	}
 }
 
+// A client refused early can come back in time; on sockets one refused late,
+// for whom nothing was ever sent, costs as well.
+func TestRequestHeldUnsentIsRefusedWithinHalfItsWait(t *testing.T) {
+	g := newRig(t, testConfig(), nil)
+	id := g.arrive(write)
+	g.wait(900 * ms)
+	if _, ok := g.refused[id]; ok {
+		t.Error("refused before half of its wait")
+	}
+	g.wait(100 * ms)
+	if _, ok := g.refused[id]; !ok {
+		t.Error("still held after half of its wait")
+	}
+}
+
 func TestLostOutcomeStillGetsOneAnswer(t *testing.T) {
 	g := newRig(t, testConfig(), trio())
 	id := g.arrive(write)
