--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -535,13 +535,13 @@
 // for whom nothing was ever sent, costs as well.
 func TestRequestHeldUnsentIsRefusedWithinHalfItsWait(t *testing.T) {
 	g := newRig(t, testConfig(), nil)
-	id := g.arrive(write)
-	g.wait(900 * ms)
-	if _, ok := g.refused[id]; ok {
+	g.r.Arrived(g.now, Request{ID: 1, Class: write, TimeLeft: 600 * ms})
+	g.wait(250 * ms)
+	if _, ok := g.refused[1]; ok {
 		t.Error("refused before half of its wait")
 	}
-	g.wait(100 * ms)
-	if _, ok := g.refused[id]; !ok {
+	g.wait(50 * ms)
+	if _, ok := g.refused[1]; !ok {
 		t.Error("still held after half of its wait")
 	}
 }
