Free idle connections only to the member that refused one

A line for every closed connection named the module's CloseIdle for all of some 500, after every answer of every member for ten seconds: a process that died refuses connections at once, which learn() and ended() in decide.go took for scarcity everywhere. Ruled out: hosts closing by themselves (none), cancelled and timed out attempts (about 60), failed dials (7).

The limit on connections is each host's own, so the memory of a refusal is now the member's.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,7 +46,7 @@
 	sessionsKept = 1 << 14                // sessions whose commits a group remembers
 	owedMost     = 1 << 14                // clients' repeats that are waited for at most
 	clientJitter = 10 * time.Millisecond  // spread of the clients' way here
-	scarceFor    = 10 * time.Second       // after a refused connection none is kept idle: others may need it
+	scarceFor    = 10 * time.Second       // after a member refused a connection none is kept idle to it
 	unreachable  = 2                      // failures in a row after which another primary is looked for
 	forgetAfter  = 30 * time.Second       // an outcome or a gone member is waited for no longer
 	holdShare    = 0.5                    // of its wait that a request may be held unsent
@@ -72,6 +72,7 @@
 	limit, weight        float64       // of concurrency; in the draw
 	cutAt                time.Duration // when the limit was last cut
 	busyUntil, restUntil time.Duration
+	scarceUntil          time.Duration // until then no idle connection to it is kept: others may need it
 
 	open               bool // its circuit breaker
 	trialAt, trialWait time.Duration
@@ -130,7 +131,6 @@
 	latency, bound         time.Duration   // over all members; the tightest bound of a class
 	watching               bool
 	rateAt, askAt, askWait time.Duration
-	scarceUntil            time.Duration // until then no idle connection is kept
 	admit                  float64       // share of reads let in
 	primaryAim             time.Duration // the tightest aim of the classes that only a primary serves
 	spill                  float64       // share of reads that may fall to a primary
@@ -461,7 +461,7 @@
 	q.out--
 	a.m.out--
 	a.m.oldest = max(a.m.oldest, a.m.heardAt)
-	if a.m.out == 0 && now < r.scarceUntil {
+	if a.m.out == 0 && now < a.m.scarceUntil {
 		r.act.CloseIdle(a.m.ID)
 	}
 	if q.done {
@@ -537,7 +537,7 @@
 	default:
 		refused := o == ConnectFailed && res.Latency < r.latencyOf(m)/4
 		if refused {
-			r.scarceUntil = now + scarceFor
+			m.scarceUntil = now + scarceFor
 		}
 		if o != TimedOut { // fast failures look idle and draw more: rest, twice as long after each in a row
 			m.restUntil = now + min(r.latencyOf(m)<<min(m.fails, doublings), trialWaitMax)
