Tell the stories of the sockets over loopback, and stop without losing a request

New clients are now told 57P03 once the router stops, statements that came ahead are answered before their connection ends, waits count from the arrival of the bytes, and the write time-out hangs in the heap.

--- a/cmd/lotusbend/main.go
+++ b/cmd/lotusbend/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"lotusbend/internal/clock"
 	"lotusbend/internal/config"
 )
 
@@ -72,7 +73,13 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("router", c.Name)
-	return serve(ctx, c, log)
+	loop := clock.NewLoop(clock.System())
+	n, err := newNode(c, loop, log)
+	if err != nil {
+		return err
+	}
+	go loop.Run(context.Background())
+	return n.run(ctx)
 }
 
 // memoryShare of the limit is for the heap; the rest is for stacks, the
--- /dev/null
+++ b/cmd/lotusbend/story_test.go
@@ -0,0 +1,517 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+
+	"lotusbend/internal/clock"
+	"lotusbend/internal/config"
+	"lotusbend/internal/pgwire"
+)
+
+const start = 1767225600000 // of the settable clock
+
+const settingsJSON = `{"Classes": [
+	{"AimMs": 500, "GiveUpMs": 1200, "Group": "all", "Importance": 2, "KeyTtlMs": 5000, "LateWorth": 0, "Name": "view", "Semantics": "pure"},
+	{"AimMs": 750, "GiveUpMs": 5000, "Group": "cell", "Importance": 4, "KeyTtlMs": 5000, "LateWorth": 0.3, "Name": "write", "Semantics": "token"}],
+	"Discovery": "push", "FamilyInfo": {"ClassRead": ["bounded", "write"], "OldestDataMs": [800, 0], "Stamps": true, "Tokens": "carried", "WhenBehind": "refuse"},
+	"Feedback": {"Fields": ["x0", "x1"], "Via": "on_probe"}, "FleetSize": 1,
+	"Limits": {"Cancelling": true, "ConnIdleMs": 30000, "ConnectTimeoutMs": 250, "MaxAttempts": 6, "MaxRetryAfterMs": 1000, "ParallelTries": true, "Probes": false, "RetryAfter": true},
+	"Locality": 0, "Rules": {"ColdMs": 18000, "OverloadFactor": 2, "OverloadForMs": 1000, "StartCapacity": 0.2}, "Zones": ["a", "b"]}`
+
+// world is a router on loopback between scripted peers, at a clock that
+// stands still until the story sets it.
+type world struct {
+	t         *testing.T
+	clock     *clock.Clock
+	loop      *clock.Loop
+	node      *node
+	discovery net.Listener
+	stop      context.CancelFunc
+	ended     chan error
+	logged    chan string
+}
+
+// Write takes a line of the router's log.
+func (w *world) Write(line []byte) (int, error) {
+	w.logged <- string(line)
+	return len(line), nil
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// endpoint is one line of the list, in group 1.
+func endpoint(name string, l net.Listener, recovery, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","group":1,"status":%q,"recovery":%q,"since_ms":0}`,
+		name, l.Addr(), status, recovery)
+}
+
+func newWorld(t *testing.T, sockets int, known ...string) *world {
+	t.Helper()
+	w := &world{t: t, clock: clock.Manual(start), discovery: listen(t), ended: make(chan error, 1),
+		logged: make(chan string, 100)}
+	w.loop = clock.NewLoop(w.clock)
+	c, err := config.Parse(fmt.Appendf(nil, `{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"sockets":%d},
+		"known":{"index":1,"snapshot":true,"endpoints":[%s]},"settings":%s}`,
+		w.discovery.Addr(), sockets, strings.Join(known, ","), settingsJSON), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w.node, err = newNode(c, w.loop, slog.New(slog.NewTextHandler(w, nil))); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	t.Cleanup(cancel)
+	go func() { w.ended <- w.node.run(ctx) }()
+	return w
+}
+
+// pass sets the clock forward, deadline by deadline.
+func (w *world) pass(ms float64) {
+	end := w.clock.Now() + ms
+	for {
+		at, ok := w.loop.Next()
+		if !ok || at > end {
+			break
+		}
+		w.clock.Set(max(at, w.clock.Now()))
+		w.loop.Fire()
+	}
+	w.clock.Set(end)
+}
+
+// answerAfter lets time pass until p has its answer.
+func (w *world) answerAfter(p *peer) string {
+	done := make(chan string, 1)
+	go func() { done <- p.answer() }()
+	for {
+		select {
+		case got := <-done:
+			return got
+		default:
+			w.pass(10)
+			runtime.Gosched()
+		}
+	}
+}
+
+// until waits for what the router's state must come to.
+func (w *world) until(holds func() bool) {
+	for ok := false; !ok; runtime.Gosched() {
+		w.loop.Do(func() { ok = holds() })
+	}
+}
+
+// peer is the test's end of a connection.
+type peer struct {
+	t  *testing.T
+	c  net.Conn
+	in *bufio.Reader
+}
+
+func newPeer(t *testing.T, c net.Conn) *peer {
+	t.Cleanup(func() { _ = c.Close() })
+	return &peer{t, c, bufio.NewReader(c)}
+}
+
+func (p *peer) write(b []byte) {
+	p.t.Helper()
+	if _, err := p.c.Write(b); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// message reads one message; kind 0 is the end of the connection.
+func (p *peer) message() (kind byte, body string) {
+	h := make([]byte, pgwire.HeaderLen)
+	if _, err := io.ReadFull(p.in, h); err != nil {
+		return 0, ""
+	}
+	b := make([]byte, binary.BigEndian.Uint32(h[1:])-4)
+	if _, err := io.ReadFull(p.in, b); err != nil {
+		return 0, ""
+	}
+	return h[0], string(b)
+}
+
+// answer reads up to ReadyForQuery and returns the kinds read, with what an
+// error or a row says.
+func (p *peer) answer() string {
+	var kinds, text string
+	for {
+		kind, body := p.message()
+		if kind == 0 {
+			return kinds + " closed " + text
+		}
+		if kind == pgwire.DataRow || kind == pgwire.ErrorResponse {
+			text += strings.ReplaceAll(body, "\x00", "|")
+		}
+		if kind != pgwire.ParameterStatus {
+			kinds += string(kind)
+		}
+		if kind == pgwire.ReadyForQuery {
+			return kinds + " " + text
+		}
+	}
+}
+
+func (p *peer) want(got, part string) {
+	p.t.Helper()
+	if !strings.Contains(got, part) {
+		p.t.Fatalf("got %q, want %q in it", got, part)
+	}
+}
+
+// dial connects a client that has not said anything.
+func (w *world) dial() *peer {
+	w.t.Helper()
+	c, err := net.Dial("tcp", w.node.server.Address())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return newPeer(w.t, c)
+}
+
+// client connects a client up to its first ReadyForQuery.
+func (w *world) client() *peer {
+	p := w.dial()
+	p.write(pgwire.AppendStartup(nil, "app", "shop"))
+	p.want(p.answer(), "RKZ")
+	return p
+}
+
+func (p *peer) query(sql string) { p.write(pgwire.AppendQuery(nil, []byte(sql))) }
+
+const (
+	view  = `SELECT doc FROM items WHERE id = '7f3a' /* id=9b1f,c=view,d=1000,cluster=1 */`
+	write = `INSERT INTO items (id, doc) VALUES ('7f3a', '\x9f03') RETURNING doc /* id=9b20,c=write,d=2000,k=5c0f,cluster=1 */`
+)
+
+// accept takes a router's connection to a database host, up to its first
+// ReadyForQuery.
+func accept(t *testing.T, l net.Listener) *peer {
+	t.Helper()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newPeer(t, c)
+	n := make([]byte, 4)
+	if _, err := io.ReadFull(p.in, n); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.in.Discard(int(binary.BigEndian.Uint32(n)) - 4); err != nil {
+		t.Fatal(err)
+	}
+	p.write(pgwire.AppendReady(pgwire.AppendAuthenticationOk(nil)))
+	return p
+}
+
+// serve answers the next statement, which it returns.
+func (p *peer) serve(value, role string) string {
+	kind, body := p.message()
+	if kind != pgwire.Query {
+		p.t.Fatalf("a host got %q instead of a statement", kind)
+	}
+	p.write(row(value, role))
+	return strings.TrimRight(body, "\x00")
+}
+
+// row is a host's whole answer.
+func row(value, role string) []byte {
+	b := pgwire.AppendRowDescription(nil, pgwire.Column{Name: []byte("doc"), Type: 17, Size: -1, Binary: true})
+	b = pgwire.AppendDataRow(b, []byte(value), false)
+	b = pgwire.AppendComplete(b, []byte("SELECT 1"))
+	b = pgwire.AppendParameter(b, "recovery", role)
+	b = pgwire.AppendParameter(b, "lsn_ms", fmt.Sprint(start))
+	return pgwire.AppendReady(b)
+}
+
+func (p *peer) refuse(code string) {
+	if kind, _ := p.message(); kind != pgwire.Query {
+		p.t.Fatalf("a host got %q instead of a statement", kind)
+	}
+	p.write(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", code, "no", "")))
+}
+
+// One packet may hold startup and statement, or each comes byte by byte; id
+// and k pass on unchanged while d becomes what the router still waits.
+func TestStartupAndStatementComeInAnyPieces(t *testing.T) {
+	l := listen(t)
+	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
+	both := pgwire.AppendQuery(pgwire.AppendStartup(nil, "app", "shop"), []byte(write))
+	var h *peer
+	for _, size := range []int{len(both), 1} {
+		p := w.dial()
+		p.write([]byte{0, 0, 0, 8, 4, 0xd2, 0x16, 0x2f}) // SSLRequest
+		if no, _ := p.in.ReadByte(); no != 'N' {
+			t.Fatalf("%q to an SSLRequest", no)
+		}
+		for chunk := range slices.Chunk(both, size) {
+			p.write(chunk)
+		}
+		p.want(p.answer(), "RKZ")
+		if h == nil {
+			h = accept(t, l)
+		}
+		if got := h.serve("value", "off"); got != write {
+			t.Fatalf("the host got %q", got)
+		}
+		p.want(p.answer(), "TDCZ")
+	}
+}
+
+// A statement that no host may see leaves the connection usable.
+func TestBadStatementsGoToNoHost(t *testing.T) {
+	w := newWorld(t, 100)
+	p := w.client()
+	for sql, want := range map[string]string{
+		"": "IZ", " ; ": "IZ", "SELECT 1": "42601", "SELECT 1 /* id=1,c=view,d=x,cluster=1 */": "42601",
+		"SELECT 1 /* id=1,c=what,d=9,cluster=1 */": "unknown class", "SELECT 1 /* id=1,c=view,d=9 */": "42601",
+	} {
+		p.query(sql)
+		p.want(p.answer(), want)
+	}
+	p.write([]byte("P\x00\x00\x00\x08\x00\x00\x00\x00S\x00\x00\x00\x04")) // Parse and Sync
+	p.want(p.answer(), "0A000")
+	p.query("")
+	p.want(p.answer(), "IZ")
+}
+
+// A frame that lies about its length ends its own connection only.
+func TestBrokenFramesEndTheirConnectionOnly(t *testing.T) {
+	w := newWorld(t, 100)
+	good := w.client()
+	for _, b := range []string{"Q\xff\xff\xff\xff", "Q\x00\x00\x00\x00"} {
+		p := w.client()
+		p.write([]byte(b))
+		p.want(p.answer(), "08P01")
+	}
+	for _, b := range []string{"\x00\x00\x00\x00", "\x7f\xff\xff\xff", "\x00\x00\x00\x08\x00\x01\x00\x00"} {
+		p := w.dial()
+		p.write([]byte(b))
+		p.want(p.answer(), "closed")
+	}
+	good.query("")
+	good.want(good.answer(), "IZ")
+}
+
+// A refused connection never ran: the write is held, and refused with the
+// time to come back once it was held for half its wait.
+func TestRefusedConnectionIsNoAttempt(t *testing.T) {
+	l := listen(t)
+	_ = l.Close()
+	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
+	p := w.client()
+	p.query(write)
+	got := w.answerAfter(p)
+	p.want(got, "C53300")
+	p.want(got, "D1000")
+}
+
+// A connection that breaks once the statement is written may have run it: a
+// write must not be called refused, which invites a repeat elsewhere.
+func TestBreakAfterTheLastByteMayHaveRun(t *testing.T) {
+	l := listen(t)
+	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
+	p := w.client()
+	p.query(write)
+	h := accept(t, l)
+	h.message()
+	_ = l.Close()
+	_ = h.c.Close()
+	w.until(func() bool { _, hosts := w.node.budget.Open(); return hosts == 0 })
+	p.want(w.answerAfter(p), "57014")
+}
+
+// At the deadline the attempt ends, by closing its connection, and the client
+// has its one answer; what the host says later goes nowhere.
+func TestDeadlineEndsTheAttempt(t *testing.T) {
+	l := listen(t)
+	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
+	p := w.client()
+	p.query(write)
+	h := accept(t, l)
+	h.message()
+	w.pass(2000)
+	p.want(p.answer(), "57014")
+	if kind, _ := h.message(); kind != 0 {
+		t.Error("the attempt's connection is still open")
+	}
+	p.query("")
+	p.want(p.answer(), "IZ")
+}
+
+// Work for a client that has gone is called off.
+func TestClientThatGoesEndsItsAttempt(t *testing.T) {
+	l := listen(t)
+	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
+	p := w.client()
+	p.query(write)
+	h := accept(t, l)
+	h.message()
+	_ = p.c.Close()
+	if kind, _ := h.message(); kind != 0 {
+		t.Error("the attempt's connection is still open")
+	}
+}
+
+// A miss moves the read on; the connection stays, and is the one used next.
+func TestMissTriesElsewhereAndConnectionsAreReused(t *testing.T) {
+	primary, replica := listen(t), listen(t)
+	w := newWorld(t, 100, endpoint("p", primary, "off", "ready"), endpoint("r", replica, "on", "ready"))
+	p := w.client()
+	p.query(view)
+	r := accept(t, replica)
+	r.refuse(pgwire.CodeTooFarBehind)
+	h := accept(t, primary)
+	h.serve("fresh", "off")
+	p.want(p.answer(), "fresh")
+	p.query(write)
+	p.want(h.serve("again", "off"), "c=write")
+	p.want(p.answer(), "again")
+	// Idle for nearly the settings' time, they are closed from this side first.
+	w.pass(25000)
+	for _, c := range []*peer{r, h} {
+		if kind, _ := c.message(); kind != 0 {
+			t.Error("an idle connection is still open")
+		}
+	}
+}
+
+// Answers come in the order of what was sent, however much came ahead.
+func TestStatementsSentAheadAreAnsweredInOrder(t *testing.T) {
+	l := listen(t)
+	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
+	p := w.client()
+	p.write(pgwire.AppendQuery(pgwire.AppendQuery(pgwire.AppendQuery(nil, []byte(write)), nil), []byte(write)))
+	h := accept(t, l)
+	h.serve("one", "off")
+	p.want(p.answer(), "one")
+	p.want(p.answer(), "IZ")
+	h.serve("two", "off")
+	p.want(p.answer(), "two")
+}
+
+// A client that reads nothing keeps no other waiting: its answers outgrow the
+// sockets' buffers, and its connection is given up.
+func TestSlowClientStallsNobody(t *testing.T) {
+	l := listen(t)
+	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
+	slow, p := w.client(), w.client()
+	slow.write(bytes.Repeat(pgwire.AppendQuery(nil, []byte(write)), 400))
+	h := accept(t, l)
+	p.query(write)
+	h2 := accept(t, l)
+	go func() {
+		for kind, _ := h.message(); kind != 0; kind, _ = h.message() {
+			_, _ = h.c.Write(row(strings.Repeat("x", 60000), "off")) // the end of h ends this
+		}
+	}()
+	w.until(func() bool { clients, _ := w.node.budget.Open(); return clients == 1 })
+	h2.serve("quick", "off")
+	p.want(p.answer(), "quick")
+}
+
+// The list changes under way: a host that drains gets nothing new, its
+// successor does, and the watch continues from the list's index.
+func TestDiscoveryIsFollowed(t *testing.T) {
+	old, fresh := listen(t), listen(t)
+	w := newWorld(t, 100, endpoint("old", old, "off", "ready"))
+	c, err := w.discovery.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := newPeer(t, c)
+	answer := func(want, list string) {
+		t.Helper()
+		r, err := http.ReadRequest(d.in)
+		if err != nil || r.URL.String() != want {
+			t.Fatalf("asked %v, %v; want %s", r, err, want)
+		}
+		d.write(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list))
+	}
+	answer("/v1/endpoints", `{"index":4,"snapshot":true,"endpoints":[`+endpoint("old", old, "off", "ready")+`]}`)
+	p := w.client()
+	p.query(write)
+	h := accept(t, old)
+	h.serve("old", "off")
+	p.want(p.answer(), "old")
+	answer("/v1/endpoints?after=4&wait_ms=10000", `{"index":5,"snapshot":false,"endpoints":[`+
+		endpoint("old", old, "off", "draining")+","+endpoint("new", fresh, "off", "ready")+`]}`)
+	answer("/v1/endpoints?after=5&wait_ms=10000", `{"index":5,"snapshot":false,"endpoints":[]}`)
+	p.query(write)
+	accept(t, fresh).serve("new", "off")
+	p.want(p.answer(), "new")
+	if kind, _ := h.message(); kind != 0 {
+		t.Error("the idle connection to a draining host is still open")
+	}
+}
+
+// SIGTERM: new clients are served a while longer, then told to come again;
+// what is held is finished before the end.
+func TestStopFinishesWhatIsHeld(t *testing.T) {
+	l := listen(t)
+	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
+	idle := w.client()
+	w.stop()
+	for line := ""; !strings.Contains(line, "stopping"); {
+		line = <-w.logged
+	}
+	p := w.client()
+	p.query(write)
+	h := accept(t, l)
+	h.message()
+	w.pass(lingerFor)
+	idle.want(idle.answer(), "closed")
+	late := w.dial()
+	late.want(late.answer(), "57P03")
+	h.write(row("held", "off"))
+	p.want(p.answer(), "held")
+	p.want(p.answer(), "closed")
+	for {
+		select {
+		case err := <-w.ended:
+			if err != nil {
+				t.Error(err)
+			}
+			return
+		default:
+			w.pass(leaveFor)
+			runtime.Gosched()
+		}
+	}
+}
+
+// Sockets are shared: past the clients' part a client is turned away cleanly.
+func TestTooManyClientsAreTurnedAway(t *testing.T) {
+	w := newWorld(t, 28)
+	var held []*peer
+	for range 3 {
+		held = append(held, w.client())
+	}
+	p := w.dial()
+	p.want(p.answer(), "53300")
+	held[0].query("")
+	held[0].want(held[0].answer(), "IZ")
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -7,11 +7,10 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"log/slog"
 	"math"
 	"net"
 	"strconv"
-	"sync"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 
@@ -25,6 +24,10 @@
 const (
 	// startupTimeout ends a connection that has not said whom it is for.
 	startupTimeout = 10000
+	// writeTimeout ends a connection whose client does not read its answer.
+	writeTimeout = 5000
+	// keepAlive is how long a silent client's system may stay unasked.
+	keepAlive = time.Minute
 	// maxAhead bounds the statements that a client may send ahead of its answers.
 	maxAhead = 2 * pgwire.MaxMessage
 	// minAhead is what a queued message counts at least.
@@ -41,14 +44,12 @@
 // Server holds the clients' connections.
 type Server struct {
 	loop     *clock.Loop
-	log      *slog.Logger
 	budget   *netio.Budget
 	requests Requests
 	clients  slots.Table[client]
 	events   netpoll.EventLoop
 	listener net.Listener
 	closing  bool
-	shut     sync.Once
 }
 
 // client is one connection. What the owner's lock guards stands first; the
@@ -59,6 +60,7 @@
 	link    *netio.Conn
 	started bool
 	ended   bool
+	leaving bool // nothing more is taken from it
 	busy    bool
 	request slots.Ref
 	ahead   []message // in the order they came
@@ -72,18 +74,19 @@
 type message struct {
 	kind byte
 	body []byte
+	at   float64 // when it came
 }
 
 // Listen opens the socket for clients; it takes none before Serve.
-func Listen(address string, loop *clock.Loop, budget *netio.Budget, requests Requests, log *slog.Logger) (*Server, error) {
+func Listen(address string, loop *clock.Loop, budget *netio.Budget, requests Requests) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{loop: loop, log: log, budget: budget, requests: requests, listener: ln}
+	s := &Server{loop: loop, budget: budget, requests: requests, listener: ln}
 	s.events, err = netpoll.NewEventLoop(
 		func(ctx context.Context, nc netpoll.Connection) error { return fromContext(ctx).onData(nc) },
-		netpoll.WithOnPrepare(s.accepted))
+		netpoll.WithOnPrepare(s.accepted), netpoll.WithIdleTimeout(keepAlive))
 	if err != nil {
 		return nil, errors.Join(err, ln.Close())
 	}
@@ -93,7 +96,7 @@
 // Address returns where the server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Serve takes clients until Shut.
+// Serve takes clients as long as the process runs.
 func (s *Server) Serve() error { return s.events.Serve(s.listener) }
 
 type contextKey struct{}
@@ -104,10 +107,12 @@
 func (s *Server) accepted(nc netpoll.Connection) context.Context {
 	c := &client{server: s, link: netio.NewConn(nc)}
 	s.loop.Do(func() {
-		if !s.budget.TakeClient() {
-			c.ended = true
-			c.link.Send(pgwire.AppendError(nil, "FATAL", pgwire.CodeTooManyConnections, "too many clients", ""), nil)
-			c.link.Finish()
+		switch {
+		case s.closing:
+			c.turnAway(pgwire.CodeCannotConnectNow, "the router is stopping")
+			return
+		case !s.budget.TakeClient():
+			c.turnAway(pgwire.CodeTooManyConnections, "too many clients")
 			return
 		}
 		c.ref = s.clients.Add(c)
@@ -124,6 +129,13 @@
 	return context.WithValue(context.Background(), contextKey{}, c)
 }
 
+// turnAway ends a connection that has no slot.
+func (c *client) turnAway(code, message string) {
+	c.ended, c.leaving = true, true
+	c.link.Send(pgwire.AppendError(nil, "FATAL", code, message, ""), nil)
+	c.link.Finish()
+}
+
 // hungUp learns that the connection has ended, by either side.
 func (c *client) hungUp() {
 	if c.ended {
@@ -225,45 +237,50 @@
 	if kind == pgwire.Terminate {
 		return errBye
 	}
+	now := c.server.loop.Now
 	c.server.loop.Do(func() {
+		if c.leaving { // a request that crosses our closing is sent again elsewhere
+			err = errBye
+			return
+		}
 		if !c.busy {
-			err = c.handle(kind, body)
+			c.handle(message{kind, body, now()})
 			return
 		}
 		if c.size += max(len(body), minAhead); c.size > maxAhead {
 			err = errors.New("frontend: too much sent ahead")
 			return
 		}
-		c.ahead = append(c.ahead, message{kind, append([]byte(nil), body...)})
+		c.ahead = append(c.ahead, message{kind, append([]byte(nil), body...), now()})
 	})
 	return err
 }
 
 // handle answers a message or hands its statement on. It runs inside Do.
-func (c *client) handle(kind byte, body []byte) error {
-	switch {
+func (c *client) handle(m message) {
+	switch kind := m.kind; {
 	case kind == pgwire.Sync:
 		c.skipping = false
 		c.link.Send(pgwire.AppendReady(nil), nil)
-		return nil
+		return
 	case c.skipping, kind == pgwire.Flush:
-		return nil
+		return
 	case kind != pgwire.Query:
 		// The extended protocol: skip to its Sync, as PostgreSQL does.
 		c.skipping = true
 		c.link.Send(pgwire.AppendError(nil, "ERROR", pgwire.CodeUnsupported, "only simple queries are served", ""), nil)
-		return nil
+		return
 	}
-	text, err := pgwire.Text(body)
+	text, err := pgwire.Text(m.body)
 	if err != nil {
 		c.reject(pgwire.CodeProtocol, err.Error())
-		return nil
+		return
 	}
 	if empty(text) {
 		c.link.Send(pgwire.AppendReady(pgwire.AppendEmptyQuery(nil)), nil)
-		return nil
+		return
 	}
-	return c.submit(append([]byte(nil), text...)) // it must outlive the read buffer
+	c.submit(append([]byte(nil), text...), m.at) // it must outlive the read buffer
 }
 
 func empty(text []byte) bool {
@@ -276,26 +293,26 @@
 }
 
 // submit hands a statement to the router.
-func (c *client) submit(text []byte) error {
+func (c *client) submit(text []byte, came float64) {
 	s, err := pgwire.ParseStatement(text)
 	if err != nil {
 		c.reject(pgwire.CodeSyntax, err.Error())
-		return nil
+		return
 	}
 	class, ok := c.server.requests.Class(s.Class)
 	if !ok {
 		c.reject(pgwire.CodeSyntax, "unknown class "+strconv.Quote(string(s.Class)))
-		return nil
+		return
 	}
 	c.busy = true
+	wait := max(s.Wait-(c.server.loop.Now()-came), 0) // it may have waited for answers before it
 	ref := c.server.requests.Submit(router.Request{
 		Statement: router.Statement{Text: text, From: s.WaitAt, To: s.WaitTo},
-		Class:     class, Group: s.Cluster, Session: session(s.Key), After: s.After, Wait: s.Wait,
+		Class:     class, Group: s.Cluster, Session: session(s.Key), After: s.After, Wait: wait,
 	}, c.server, c.ref)
 	if c.busy { // else it has been answered already
 		c.request = ref
 	}
-	return nil
 }
 
 func session(key []byte) uint64 {
@@ -320,26 +337,29 @@
 	}
 	c.busy = false
 	c.link.Send(pgwire.AppendReady(appendAnswer(nil, a)), nil)
-	if s.closing {
-		s.finish(c)
-		return
-	}
+	sent := c.link.Queued()
+	s.loop.At(s.loop.Now()+writeTimeout, func() {
+		if c.link.Written() < sent {
+			c.link.Close()
+		}
+	})
 	// What came ahead is taken after the event at hand: an answer must not
 	// lead back into the module.
-	if len(c.ahead) > 0 {
+	if len(c.ahead) > 0 || s.closing {
 		s.loop.Post(c.next)
 	}
 }
 
 // next takes up the messages that waited for an answer.
 func (c *client) next() {
-	for len(c.ahead) > 0 && !c.busy && !c.ended {
+	for len(c.ahead) > 0 && !c.busy && !c.ended && !c.leaving {
 		m := c.ahead[0]
 		c.ahead = c.ahead[1:]
 		c.size -= max(len(m.body), minAhead)
-		if err := c.handle(m.kind, m.body); err != nil {
-			c.link.Finish()
-		}
+		c.handle(m)
+	}
+	if c.server.closing && !c.busy && !c.ended {
+		c.server.finish(c)
 	}
 }
 
@@ -364,7 +384,8 @@
 }
 
 // Drain lets clients go between their requests, from now on: those that are
-// idle now, the others after their answer. It runs inside Do.
+// idle now, the others after their answer. New ones are told to come again.
+// It runs inside Do.
 func (s *Server) Drain() {
 	s.closing = true
 	s.clients.Each(func(_ slots.Ref, c *client) {
@@ -375,11 +396,7 @@
 }
 
 // finish closes a connection that owes nothing.
-func (s *Server) finish(c *client) { c.link.Finish() }
-
-// Shut stops taking clients.
-func (s *Server) Shut() error {
-	var err error
-	s.shut.Do(func() { err = s.listener.Close() })
-	return err
+func (s *Server) finish(c *client) {
+	c.leaving = true
+	c.link.Finish()
 }
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -5,16 +5,12 @@
 import (
 	"errors"
 	"sync"
-	"time"
 
 	"github.com/cloudwego/netpoll"
 )
 
-const (
-	// maxUnsent bounds what one peer that does not read may cost.
-	maxUnsent    = 1 << 20
-	writeTimeout = 5 * time.Second
-)
+// maxUnsent bounds what one peer that does not read may cost.
+const maxUnsent = 1 << 20
 
 var errUnsent = errors.New("netio: the peer does not read")
 
@@ -25,16 +21,15 @@
 	mu       sync.Mutex
 	out      []byte
 	done     []func(error)
+	queued   int64 // bytes ever, and how many of them are with the system
+	written  int64
 	flushing bool
 	closing  bool // once all is flushed
 	closed   bool
 }
 
 // NewConn returns a Conn on nc.
-func NewConn(nc netpoll.Connection) *Conn {
-	_ = nc.SetWriteTimeout(writeTimeout) // the implementation returns nil only
-	return &Conn{nc: nc}
-}
+func NewConn(nc netpoll.Connection) *Conn { return &Conn{nc: nc} }
 
 // Send writes a copy of b after what was sent before. done, if not nil, is
 // called once from another goroutine: with nil when the last byte of b is
@@ -52,6 +47,7 @@
 		return
 	}
 	c.out = append(c.out, b...)
+	c.queued += int64(len(b))
 	if done != nil {
 		c.done = append(c.done, done)
 	}
@@ -83,6 +79,11 @@
 		c.out, c.done = spare[:0], nil
 		c.mu.Unlock()
 		_, err := c.nc.Write(b)
+		if err == nil {
+			c.mu.Lock()
+			c.written += int64(len(b))
+			c.mu.Unlock()
+		}
 		spare = b
 		for _, f := range done {
 			f(err)
@@ -93,6 +94,20 @@
 	}
 }
 
+// Queued returns how many bytes were ever sent here.
+func (c *Conn) Queued() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queued
+}
+
+// Written returns how many of them are with the system.
+func (c *Conn) Written() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
 // Close ends the connection now. Close callbacks of the netpoll connection
 // run in another goroutine.
 func (c *Conn) Close() {
@@ -142,6 +157,9 @@
 	return &Budget{Total: total, Clients: max(total*3/4, 1)}
 }
 
+// Open returns how many sockets are booked.
+func (b *Budget) Open() (clients, hosts int) { return b.clients, b.hosts }
+
 // TakeClient books a client's socket, if one is left.
 func (b *Budget) TakeClient() bool {
 	if b.clients >= b.Clients || b.clients+b.hosts >= b.Total {
