Guard against an empty message body, and test the parsers by tables

Seen: the table of malformed bodies made pgwire.Text panic on a body of no bytes, as a Query of length 4 has; the panic would have ended the process with the owner's lock held. At fault: IndexByte's -1 equalled len-1.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Everything here needs Go alone; modules come by go.sum.
+
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
+
+.PHONY: build test lint run
+
+build:
+	mkdir -p bin
+	go build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/...
+
+test:
+	go test ./...
+
+lint:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not gofmt-clean: $$unformatted"; exit 1; fi
+	go vet ./...
+
+# GW_CONFIG names the configuration file; see README.md.
+run: build
+	exec bin/lotusbend serve
--- /dev/null
+++ b/internal/backend/reader_test.go
@@ -0,0 +1,64 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"lotusbend/decide"
+	"lotusbend/internal/pgwire"
+	"lotusbend/internal/router"
+)
+
+// A position that is told too high lets a stale read through.
+func TestPositionsAreExactAndRoundedSafely(t *testing.T) {
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, c := range []struct {
+		text string
+		unit time.Duration
+		up   bool
+		want time.Duration
+	}{
+		{"1767225600123", time.Millisecond, false, ms(1767225600123)},
+		{"1767225600.123", time.Second, false, ms(1767225600123)},
+		{"1767225600.0000000019", time.Second, false, ms(1767225600000) + 1},
+		{"1767225600.0000000019", time.Second, true, ms(1767225600000) + 2},
+		{"1.0000000000", time.Second, true, time.Second},
+		{"", time.Second, false, 0}, {"-1", time.Second, false, 0}, {"1.x", time.Second, false, 0},
+		{"1e3", time.Second, false, 0}, {"9000000000000000", time.Millisecond, false, 0},
+	} {
+		if got := position([]byte(c.text), c.unit, c.up); got != c.want {
+			t.Errorf("%s up %v: %d, want %d", c.text, c.up, got, c.want)
+		}
+	}
+}
+
+func TestHealth(t *testing.T) {
+	for text, want := range map[string]decide.Note{
+		"x0=2.5,x1=1,util=0.61,queue=3": {Role: decide.RolePrimary, Position: 2500 * time.Millisecond},
+		"x1=0,x0=2":                     {Role: decide.RoleReplica, Position: 2 * time.Second},
+		"util=0.61,x1=,x0=,,=":          {},
+		"":                              {},
+	} {
+		if got := health([]byte(text)); got != want {
+			t.Errorf("%q: %+v", text, got)
+		}
+	}
+}
+
+// The table of outcomes decides what may be repeated.
+func TestOutcomes(t *testing.T) {
+	for code, want := range map[string]decide.Outcome{
+		"25006": decide.Miss, "72000": decide.Miss, "XX000": decide.Error, "53300": decide.Full, "08P01": decide.Error,
+	} {
+		var r reader
+		if err := r.take(pgwire.ErrorResponse, pgwire.AppendError(nil, "ERROR", code, "", "")[pgwire.HeaderLen:]); err != nil {
+			t.Fatal(err)
+		}
+		if rep, whole := r.report(&job{}); !whole || rep.Outcome != want {
+			t.Errorf("%s: %v, %v", code, rep.Outcome, whole)
+		}
+	}
+	if _, whole := (&reader{row: router.Row{Found: true}}).report(&job{}); whole {
+		t.Error("a row without its CommandComplete is a whole answer")
+	}
+}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -87,7 +87,7 @@
 // Text reads the body of a Query: one string.
 func Text(body []byte) ([]byte, error) {
 	i := bytes.IndexByte(body, 0)
-	if i != len(body)-1 {
+	if i < 0 || i != len(body)-1 { // an empty body has neither
 		return nil, malformed("a string that does not end its message")
 	}
 	return body[:i], nil
