Bound the wait that a client may state, and test that a stop waits

Seen in review: a deadline stays in the heap until it passes, so a client that states hours costs memory after its answer. Checked by changing the code line by line: the stories fail without each of twelve guards tried; the stop's wait for held requests had no test that failed, and has one now. Started by hand: psql is served, SIGTERM ends with 0 after 0.7 s, a bad file with 1 and one line.

--- a/cmd/lotusbend/story_test.go
+++ b/cmd/lotusbend/story_test.go
@@ -468,6 +468,13 @@
 	idle.want(idle.answer(), "closed")
 	late := w.dial()
 	late.want(late.answer(), "57P03")
+	for range 10 { // more than the last answers get
+		w.pass(leaveFor)
+		runtime.Gosched()
+	}
+	if len(w.ended) > 0 {
+		t.Error("ended while a request was held")
+	}
 	h.write(row("held", "off"))
 	p.want(p.answer(), "held")
 	p.want(p.answer(), "closed")
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -26,6 +26,9 @@
 	startupTimeout = 10000
 	// writeTimeout ends a connection whose client does not read its answer.
 	writeTimeout = 5000
+	// maxWait bounds the wait that a client may state: its deadline stays in
+	// the heap until then, however soon the answer comes.
+	maxWait = 60000
 	// keepAlive is how long a silent client's system may stay unasked.
 	keepAlive = time.Minute
 	// maxAhead bounds what a client may send ahead of its answers, one message aside.
@@ -306,7 +309,7 @@
 		return
 	}
 	c.busy = true
-	wait := max(s.Wait-(c.server.loop.Now()-came), 0) // it may have waited for answers before it
+	wait := max(min(s.Wait, maxWait)-(c.server.loop.Now()-came), 0) // it may have waited for answers before it
 	ref := c.server.requests.Submit(router.Request{
 		Statement: router.Statement{Text: text, From: s.WaitAt, To: s.WaitTo},
 		Class:     class, Group: s.Cluster, Session: session(s.Key), After: s.After, Wait: wait,
