Turn clients away only once netpoll has registered their descriptor

Seen in review: a client past the budget, or one that came while stopping, was closed from OnPrepare's goroutine, maybe between netpoll's check and its registration, when the number could be another connection's already. The goodbye now goes out in OnConnect; the stories of a full router and of a stop cover both ways. Unused constants go.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -70,6 +70,7 @@
 	ahead   []message // in the order they came
 	size    int       // of ahead
 
+	goodbye  []byte // to one without a slot
 	greeted  bool
 	skipping bool // after an error in the extended protocol, until Sync
 }
@@ -90,7 +91,7 @@
 	s := &Server{loop: loop, budget: budget, requests: requests, listener: ln}
 	s.events, err = netpoll.NewEventLoop(
 		func(ctx context.Context, nc netpoll.Connection) error { return fromContext(ctx).onData(nc) },
-		netpoll.WithOnPrepare(s.accepted), netpoll.WithIdleTimeout(keepAlive))
+		netpoll.WithOnPrepare(s.accepted), netpoll.WithOnConnect(s.connected), netpoll.WithIdleTimeout(keepAlive))
 	if err != nil {
 		return nil, errors.Join(err, ln.Close())
 	}
@@ -133,11 +134,20 @@
 	return context.WithValue(context.Background(), contextKey{}, c)
 }
 
-// turnAway ends a connection that has no slot.
+// turnAway marks a connection that gets no slot.
 func (c *client) turnAway(code, message string) {
 	c.ended, c.leaving = true, true
-	c.link.Send(pgwire.AppendError(nil, "FATAL", code, message, ""), nil)
-	c.link.Finish()
+	c.goodbye = pgwire.AppendError(nil, "FATAL", code, message, "")
+}
+
+// connected ends a connection that was turned away. It comes after netpoll
+// has registered the descriptor: one closed before could be another's by then.
+func (s *Server) connected(ctx context.Context, _ netpoll.Connection) context.Context {
+	if c := fromContext(ctx); c.goodbye != nil {
+		c.link.Send(c.goodbye, nil)
+		c.link.Finish()
+	}
+	return ctx
 }
 
 // hungUp learns that the connection has ended, by either side.
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -40,7 +40,6 @@
 	CommandComplete = 'C'
 	EmptyQuery      = 'I'
 	ErrorResponse   = 'E'
-	NoticeResponse  = 'N'
 )
 
 // SQLSTATE codes.
@@ -49,7 +48,6 @@
 	CodeCannotConnectNow   = "57P03"
 	CodeReadOnly           = "25006"
 	CodeTooFarBehind       = "72000"
-	CodeInternal           = "XX000"
 	CodeProtocol           = "08P01"
 	CodeSyntax             = "42601"
 	CodeUnsupported        = "0A000"
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -55,9 +55,6 @@
 	}
 }
 
-// Len returns how many slots are taken.
-func (t *Table[T]) Len() int { return len(t.slots) - len(t.free) }
-
 // Each calls do for everything in the table.
 func (t *Table[T]) Each(do func(Ref, *T)) {
 	for i := range t.slots {
