--- /dev/null
+++ b/internal/slots/slots_test.go
@@ -0,0 +1,22 @@
+package slots
+
+import "testing"
+
+// A late event must not reach whoever has the slot next.
+func TestSlotIsNotItsSuccessor(t *testing.T) {
+	var table Table[int]
+	one, two := 1, 2
+	first := table.Add(&one)
+	if FromID(first.ID()) != first || first.ID() == 0 {
+		t.Errorf("%+v does not survive its number", first)
+	}
+	table.Remove(first)
+	table.Remove(first) // late: frees nothing twice
+	second := table.Add(&two)
+	if second.Slot != first.Slot || table.Get(first) != nil || table.Get(second) != &two {
+		t.Errorf("%+v after %+v", second, first)
+	}
+	if third := table.Add(&one); third.Slot == second.Slot {
+		t.Error("one slot was given out twice")
+	}
+}
