End only the sending side for a client that is let go, so that it hears why

Clients past the budget had sent startup and statement already; closing with those unread resets the connection, and the reset overtakes the refusal. At fault: Finish in netio.go closed at once. Ruled out: hosts and the module (no failed connects, no time-outs), memory (5 MB).

Finish now ends the sending side, what still comes in is passed over, and the client or a second ends the connection; at most twelve such at a time.

--- a/cmd/lotusbend/story_test.go
+++ b/cmd/lotusbend/story_test.go
@@ -499,8 +499,13 @@
 	for range 3 {
 		held = append(held, w.client())
 	}
+	// It has sent its first statement before it is heard: a reset would take
+	// the answer with it.
 	p := w.dial()
-	p.want(p.answer(), "53300")
+	p.write(pgwire.AppendQuery(pgwire.AppendStartup(nil, "app", "shop"), []byte(write)))
+	got := p.answer()
+	p.want(got, "53300")
+	p.want(got, "closed")
 	held[0].query("")
 	held[0].want(held[0].answer(), "IZ")
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -26,6 +26,11 @@
 	startupTimeout = 10000
 	// writeTimeout ends a connection whose client does not read its answer.
 	writeTimeout = 5000
+	// leaveTimeout is how long a client may take to hear that it is let go.
+	leaveTimeout = 1000
+	// maxLeaving bounds the clients turned away that have not gone, which live
+	// on the descriptors kept in reserve.
+	maxLeaving = 12
 	// maxWait bounds the wait that a client may state: its deadline stays in
 	// the heap until then, however soon the answer comes.
 	maxWait = 60000
@@ -53,6 +58,7 @@
 	events   netpoll.EventLoop
 	listener net.Listener
 	closing  bool
+	leaving  int // clients turned away and not gone yet; outside the budget
 }
 
 // client is one connection. What the owner's lock guards stands first; the
@@ -138,25 +144,37 @@
 func (c *client) turnAway(code, message string) {
 	c.ended, c.leaving = true, true
 	c.goodbye = pgwire.AppendError(nil, "FATAL", code, message, "")
+	c.server.leaving++
 }
 
 // connected ends a connection that was turned away. It comes after netpoll
 // has registered the descriptor: one closed before could be another's by then.
 func (s *Server) connected(ctx context.Context, _ netpoll.Connection) context.Context {
-	if c := fromContext(ctx); c.goodbye != nil {
-		c.link.Send(c.goodbye, nil)
-		c.link.Finish()
+	c := fromContext(ctx)
+	if c.goodbye == nil {
+		return ctx
 	}
+	s.loop.Do(func() {
+		if s.leaving > maxLeaving {
+			c.link.Close()
+			return
+		}
+		c.link.Send(c.goodbye, nil)
+		s.finish(c)
+	})
 	return ctx
 }
 
 // hungUp learns that the connection has ended, by either side.
 func (c *client) hungUp() {
+	c.link.Close()
+	if c.goodbye != nil {
+		c.server.leaving--
+	}
 	if c.ended {
 		return
 	}
 	c.ended = true
-	c.link.Close()
 	c.server.clients.Remove(c.ref)
 	c.server.budget.GiveClient()
 	c.ahead = nil
@@ -170,12 +188,16 @@
 // connection's own goroutine.
 func (c *client) onData(nc netpoll.Connection) error {
 	for nc.Reader().Len() > 0 {
+		if c.link.Finishing() { // nothing more is taken, only the peer's end
+			_ = nc.Reader().Skip(nc.Reader().Len())
+			return nc.Reader().Release()
+		}
 		read := c.readMessage
 		if !c.greeted {
 			read = c.readStartup
 		}
 		if err := read(nc.Reader()); err != nil {
-			c.link.Finish() // what was said before goes out first
+			c.server.loop.Do(func() { c.server.finish(c) }) // what was said before goes out first
 			_ = nc.Reader().Skip(nc.Reader().Len())
 			if errors.Is(err, errBye) {
 				return nil
@@ -413,8 +435,9 @@
 	})
 }
 
-// finish closes a connection that owes nothing.
+// finish ends a connection that owes nothing, at the latest after a while.
 func (s *Server) finish(c *client) {
 	c.leaving = true
 	c.link.Finish()
+	s.loop.At(s.loop.Now()+leaveTimeout, c.link.Close)
 }
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"sync"
+	"syscall"
 
 	"github.com/cloudwego/netpoll"
 )
@@ -67,7 +68,7 @@
 		if len(b) == 0 || c.closed {
 			c.flushing = false
 			if c.closing && !c.closed {
-				c.abort()
+				c.endSending()
 			}
 			c.out, c.done = nil, nil
 			c.mu.Unlock()
@@ -125,18 +126,34 @@
 	go func() { _ = c.nc.Close() }()
 }
 
-// Finish ends the connection once all that was sent is with the system.
+// Finish ends this side's sending once all that was sent is with the system.
+// The peer ends the connection: closing it while the peer's bytes come in
+// would reset it, and the reset may overtake what was sent last.
 func (c *Conn) Finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.closing {
 		return
 	}
-	if c.flushing {
-		c.closing = true
-		return
+	c.closing = true
+	if !c.flushing {
+		c.endSending()
+	}
+}
+
+// Finishing tells whether nothing more can be sent.
+func (c *Conn) Finishing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing || c.closed
+}
+
+// endSending is called with the lock held, and not closed: the descriptor is
+// still this connection's, as its close callback takes the lock first.
+func (c *Conn) endSending() {
+	if f, ok := c.nc.(interface{ Fd() int }); ok {
+		_ = syscall.Shutdown(f.Fd(), syscall.SHUT_WR) // fails only where the peer has gone
 	}
-	c.abort()
 }
 
 // Budget shares the process's descriptors among clients and database hosts.
