Keep the stories' clock from outrunning an answer still on its way

Seen: one story in some hundred runs lost its answer: it spun the settable clock past the write time-out before the answer had left. The clock now stops at the write's wait, and the refusal's story waits until its request is taken.

--- a/cmd/lotusbend/story_test.go
+++ b/cmd/lotusbend/story_test.go
@@ -102,19 +102,16 @@
 	w.clock.Set(end)
 }
 
-// answerAfter lets time pass until p has its answer.
+// answerAfter lets time pass until p has its answer, at the most the wait of
+// the write: further on, an answer not written yet would be given up.
 func (w *world) answerAfter(p *peer) string {
 	done := make(chan string, 1)
 	go func() { done <- p.answer() }()
-	for {
-		select {
-		case got := <-done:
-			return got
-		default:
-			w.pass(10)
-			runtime.Gosched()
-		}
+	for range 201 {
+		w.pass(10)
+		runtime.Gosched()
 	}
+	return <-done
 }
 
 // until waits for what the router's state must come to.
@@ -326,6 +323,7 @@
 	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
 	p := w.client()
 	p.query(write)
+	w.until(func() bool { return w.node.router.Open() == 1 })
 	got := w.answerAfter(p)
 	p.want(got, "C53300")
 	p.want(got, "D1000")
