--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -169,11 +169,15 @@
 
 // Cancel implements router.Hosts: an attempt is given up by closing its
 // connection.
-func (p *Pool) Cancel(sent slots.Ref) {
-	if j := p.jobs.Get(sent); j != nil {
-		p.abandon(j)
-		p.jobs.Remove(sent)
+func (p *Pool) Cancel(sent slots.Ref) (begun bool) {
+	j := p.jobs.Get(sent)
+	if j == nil {
+		return true
 	}
+	begun = j.conn != nil
+	p.abandon(j)
+	p.jobs.Remove(sent)
+	return begun
 }
 
 // abandon takes j off whatever it is at.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,7 +76,7 @@
 // and each probe is reported once.
 type Hosts interface {
 	Send(host uint32, a Attempt, s Statement, wait float64) slots.Ref
-	Cancel(sent slots.Ref)
+	Cancel(sent slots.Ref) (begun bool) // false: surely not a byte was written
 	Probe(host uint32)
 	CloseIdle(host uint32)
 }
@@ -222,12 +222,20 @@
 	})
 }
 
+// cancel gives an attempt up. One that still waited for its connection never
+// ran, whatever ended the wait.
+func (r *Router) cancel(q *request, n int, o decide.Outcome) decide.Outcome {
+	if !r.hosts.Cancel(q.attempts[n].sent) && o == decide.TimedOut {
+		return decide.ConnectFailed
+	}
+	return o
+}
+
 // endAttempts ends whatever of q is out.
 func (r *Router) endAttempts(ref slots.Ref, q *request, o decide.Outcome) {
 	for n := range q.attempts {
 		if q.attempts[n].out {
-			r.hosts.Cancel(q.attempts[n].sent)
-			r.end(ref, q, n, Report{Outcome: o})
+			r.end(ref, q, n, Report{Outcome: r.cancel(q, n, o)})
 		}
 	}
 }
@@ -300,8 +308,7 @@
 	if q == nil || !q.attempts[a.Number].out {
 		return
 	}
-	r.hosts.Cancel(q.attempts[a.Number].sent)
-	r.end(a.Request, q, a.Number, Report{Outcome: decide.TimedOut})
+	r.end(a.Request, q, a.Number, Report{Outcome: r.cancel(q, a.Number, decide.TimedOut)})
 	r.release(a.Request, q)
 }
 
