--- a/internal/edge/intake/admit.go
+++ b/internal/edge/intake/admit.go
@@ -78,8 +78,8 @@
 			delete(in.networks, e.network)
 		}
 	}
-	in.timers.remove(e.wake)
-	in.timers.remove(e.answer)
+	in.timers.Cancel(e.wake)
+	in.timers.Cancel(e.answer)
 	e.wake, e.answer = nil, nil
 	in.settle(d)
 }
--- a/internal/edge/intake/intake.go
+++ b/internal/edge/intake/intake.go
@@ -15,6 +15,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"strconv"
+
+	"lotusbend/internal/edge/due"
 )
 
 // Status is a final answer to one copy of a reading.
@@ -30,6 +34,18 @@
 	Invalid                // it can never be recorded as it is
 )
 
+// String returns the status as one word.
+func (s Status) String() string {
+	words := [...]string{"recorded", "stored", "conflict", "refused", "unknown", "invalid"}
+	if int(s) < len(words) {
+		return words[s]
+	}
+	return "status " + strconv.Itoa(int(s))
+}
+
+// Done tells whether the reading needs no further copy.
+func (s Status) Done() bool { return s == Recorded || s == Stored }
+
 // Origin names who waits for an answer, in the caller's terms.
 type Origin struct {
 	Peer    uint64
@@ -43,6 +59,14 @@
 	NotBefore float64 // it was sent after this time, 0 if that is not known
 }
 
+// drift is how much faster than ours a device's clock may run.
+const drift = 0.001
+
+// Since returns a time before which a message cannot have been sent, whose
+// sender says that it heard something of ours, written at mark, elapsed
+// milliseconds ago by its own clock.
+func Since(mark, elapsed float64) float64 { return mark + max(elapsed, 0)*(1-drift) }
+
 // Answer ends one copy of a reading.
 type Answer struct {
 	Status Status
@@ -132,7 +156,7 @@
 	networks map[netip.Prefix]int
 	groups   map[int]*group
 	order    []*group // by first use, so that nothing hangs on a map's order
-	timers   timers
+	timers   due.Heap
 	out      map[uint64]*entry // by the number of their submission
 	next     uint64
 	open     int
@@ -169,21 +193,10 @@
 }
 
 // Next returns when Tick is due, if it is.
-func (in *Intake) Next() (float64, bool) {
-	if len(in.timers) == 0 {
-		return 0, false
-	}
-	return in.timers[0].at, true
-}
+func (in *Intake) Next() (float64, bool) { return in.timers.Next() }
 
 // Tick does what is due.
-func (in *Intake) Tick(now float64) {
-	for len(in.timers) > 0 && in.timers[0].at <= now {
-		t := in.timers[0]
-		in.timers.remove(t)
-		t.do(now)
-	}
-}
+func (in *Intake) Tick(now float64) { in.timers.Tick(now) }
 
 // Offer takes one copy of a reading from a device in a network.
 func (in *Intake) Offer(now float64, r Reading, c Claim, from Origin, network netip.Prefix) {
@@ -250,8 +263,8 @@
 	in.pump(now, e.group)
 }
 
-// Known returns which readings of a device's epoch are surely recorded, as far
-// as this router remembers.
+// Known returns which readings of a device's epoch are surely recorded, in
+// order, as far as this router remembers.
 func (in *Intake) Known(device string, epoch uint64) []uint64 {
 	d := in.devices[device]
 	if d == nil {
@@ -263,5 +276,6 @@
 			seqs = append(seqs, f.seq)
 		}
 	}
+	slices.Sort(seqs)
 	return seqs
 }
--- a/internal/edge/intake/intake_test.go
+++ b/internal/edge/intake/intake_test.go
@@ -376,8 +376,8 @@
 	s.pass(20000)
 	s.want("unknown1 unknown2 unknown3")
 	s.in.Failed(s.now, s.last)
-	if st := s.in.Stats(); st.Open != 0 || len(s.in.timers) != 0 || len(s.in.networks) != 0 {
-		t.Errorf("left: %+v, %d timers", st, len(s.in.timers))
+	if st := s.in.Stats(); st.Open != 0 || s.in.timers.Len() != 0 || len(s.in.networks) != 0 {
+		t.Errorf("left: %+v, %d timers", st, s.in.timers.Len())
 	}
 	s.offer("b", 1, false) // copies of one reading that wait have a bound
 	for range 10 {
--- a/internal/edge/intake/life.go
+++ b/internal/edge/intake/life.go
@@ -21,8 +21,8 @@
 
 // promise sets the time by which whoever waits for e has an answer.
 func (in *Intake) promise(now float64, e *entry) {
-	in.timers.remove(e.answer)
-	e.answer = in.at(now+in.cfg.AnswerWithin, func(now float64) { in.late(now, e) })
+	in.timers.Cancel(e.answer)
+	e.answer = in.timers.At(now+in.cfg.AnswerWithin, func(now float64) { in.late(now, e) })
 }
 
 // late answers those who have waited long enough: the device keeps the reading
@@ -207,7 +207,7 @@
 
 func (in *Intake) rest(e *entry, until float64) {
 	e.phase = resting
-	e.wake = in.at(until, func(now float64) {
+	e.wake = in.timers.At(until, func(now float64) {
 		e.wake = nil
 		e.group.again = append(e.group.again, e)
 		e.phase = again
@@ -234,7 +234,7 @@
 		return
 	}
 	e.stored = true
-	in.timers.remove(e.answer)
+	in.timers.Cancel(e.answer)
 	e.answer = nil
 	for _, w := range e.waiters {
 		in.answer(w, Answer{Status: Stored})
--- a/internal/edge/intake/model_test.go
+++ b/internal/edge/intake/model_test.go
@@ -35,9 +35,7 @@
 }
 
 type run struct {
-	value  []byte
-	commit float64 // 0 once it was aborted
-	then   []func(ok bool)
+	then []func(ok bool)
 }
 
 type event struct {
@@ -187,7 +185,7 @@
 		then(true)
 		return
 	}
-	r := &run{value: value, then: []func(bool){then}}
+	r := &run{then: []func(bool){then}}
 	w.running[key], w.begun[key] = r, w.now
 	work := w.rand.Float64() * 100
 	if w.chance(0.1) { // a host that hangs with it
--- a/internal/edge/intake/pace.go
+++ b/internal/edge/intake/pace.go
@@ -1,5 +1,7 @@
 package intake
 
+import "lotusbend/internal/edge/due"
+
 // group is what goes to one group of hosts, and how fast.
 type group struct {
 	number  int
@@ -9,7 +11,7 @@
 	failed  int     // submissions in a row that helped nobody
 	rampAt  float64 // since when it recovers from an outage, 0 if it does not
 	holdTo  float64 // nothing new goes out before
-	hold    *timer
+	hold    *due.Timer
 	again   []*entry // whose rest is over: they go before new ones
 	urgent  []*line  // in turn
 	routine []*line
@@ -176,7 +178,7 @@
 func (in *Intake) pump(now float64, g *group) {
 	if now < g.holdTo {
 		if g.hold == nil {
-			g.hold = in.at(g.holdTo, func(now float64) {
+			g.hold = in.timers.At(g.holdTo, func(now float64) {
 				g.hold = nil
 				in.pump(now, g)
 			})
--- a/internal/edge/intake/reading.go
+++ b/internal/edge/intake/reading.go
@@ -7,6 +7,8 @@
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
+
+	"lotusbend/internal/edge/due"
 )
 
 // ID names a reading wherever and however often it is sent.
@@ -92,18 +94,18 @@
 	line    *line
 	waiters []Origin
 	phase   phase
-	stored  bool    // on the disk
-	over    bool    // off the books
-	cover   float64 // until then a write cannot run twice; 0: a read must come first
-	sent    bool    // a write of ours may have run
-	deadAt  float64 // when no attempt of ours can be running any more
-	number  uint64  // of the submission that is out
-	asked   float64 // when it went out
-	until   float64 // its deadline
-	tries   int     // without an answer that helped
-	since   float64 // when it came
-	wake    *timer  // of resting
-	answer  *timer  // of the latest time for its answer
+	stored  bool       // on the disk
+	over    bool       // off the books
+	cover   float64    // until then a write cannot run twice; 0: a read must come first
+	sent    bool       // a write of ours may have run
+	deadAt  float64    // when no attempt of ours can be running any more
+	number  uint64     // of the submission that is out
+	asked   float64    // when it went out
+	until   float64    // its deadline
+	tries   int        // without an answer that helped
+	since   float64    // when it came
+	wake    *due.Timer // of resting
+	answer  *due.Timer // of the latest time for its answer
 }
 
 func (e *entry) cost() int { return len(e.Value) + len(e.Device) + entryCost }
