--- a/cmd/lotusbend/main.go
+++ b/cmd/lotusbend/main.go
@@ -6,9 +6,11 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -18,6 +20,9 @@
 
 	"lotusbend/internal/clock"
 	"lotusbend/internal/config"
+	"lotusbend/internal/edge"
+	"lotusbend/internal/options"
+	"lotusbend/internal/router"
 )
 
 // version is set by the linker in a release build.
@@ -46,25 +51,61 @@
 	return nil
 }
 
-type checkConfigCmd struct{}
+// settingsFlag names the operators' settings file.
+type settingsFlag struct {
+	Settings string `help:"The operators' settings file, JSON with comments." env:"LOTUSBEND_SETTINGS" type:"path"`
+}
+
+// load reads the file, if there is one: without it everything in it is off.
+func (f settingsFlag) load() (*options.Options, error) {
+	if f.Settings == "" {
+		return &options.Options{}, nil
+	}
+	return options.Load(f.Settings)
+}
+
+type checkConfigCmd struct{ settingsFlag }
 
 // Run implements the command.
-func (checkConfigCmd) Run() error {
+func (cmd checkConfigCmd) Run() error {
+	opt, err := cmd.load()
+	if err != nil {
+		return err
+	}
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
+	if err := checkEdge(c, opt); err != nil {
+		return fmt.Errorf("%s: %w", cmd.Settings, err)
+	}
 	fmt.Printf("configuration of %s is in order: %d classes, %d database hosts known\n",
 		c.Name, len(c.Settings.Config.Classes), len(c.Known.Hosts))
 	return nil
 }
 
-type serveCmd struct{}
+// checkEdge checks the edge against the classes that the router is told.
+func checkEdge(c *config.Config, opt *options.Options) error {
+	if opt.Edge == nil {
+		return nil
+	}
+	r, err := router.New(clock.NewLoop(clock.System()), c.Settings.Config, c.Seed)
+	if err != nil {
+		return err
+	}
+	return edge.Check(opt.Edge, r)
+}
+
+type serveCmd struct{ settingsFlag }
 
 // Run implements the command.
-func (serveCmd) Run() error {
+func (cmd serveCmd) Run() error {
 	again := make(chan os.Signal, 1) // from the first moment on, SIGHUP must not end the program
 	signal.Notify(again, syscall.SIGHUP)
+	opt, err := cmd.load()
+	if err != nil {
+		return err
+	}
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -73,10 +114,12 @@
 	limitMemory(c)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("router", c.Name)
+	var level slog.LevelVar
+	level.Set(opt.Level)
+	log := logger(os.Stderr, opt.JSON, &level).With("router", c.Name)
 	netpoll.SetLoggerOutput(debugLog{log}) // it has a line for each connection that a peer resets
 	loop := clock.NewLoop(clock.System())
-	n, err := newNode(c, loop, log)
+	n, err := newNode(c, opt, loop, log)
 	if err != nil {
 		return err
 	}
@@ -89,11 +132,28 @@
 				limitMemory(c)
 				n.reload(c)
 			}
+			if fresh, err := cmd.load(); err != nil {
+				log.Error("the new settings file is not taken", "error", err)
+			} else {
+				level.Set(fresh.Level)
+				if fresh.JSON != opt.JSON || !reflect.DeepEqual(fresh.Edge, opt.Edge) {
+					log.Warn("a new form of the log, or edge, takes effect at the next start")
+				}
+			}
 		}
 	}()
 	return n.run(ctx)
 }
 
+// logger writes lines as text or JSON.
+func logger(to io.Writer, asJSON bool, level slog.Leveler) *slog.Logger {
+	opt := &slog.HandlerOptions{Level: level}
+	if asJSON {
+		return slog.New(slog.NewJSONHandler(to, opt))
+	}
+	return slog.New(slog.NewTextHandler(to, opt))
+}
+
 // debugLog takes another package's lines as debugging ones.
 type debugLog struct{ *slog.Logger }
 
--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -12,8 +12,10 @@
 	"lotusbend/internal/clock"
 	"lotusbend/internal/config"
 	"lotusbend/internal/discovery"
+	"lotusbend/internal/edge"
 	"lotusbend/internal/frontend"
 	"lotusbend/internal/netio"
+	"lotusbend/internal/options"
 	"lotusbend/internal/router"
 )
 
@@ -35,12 +37,13 @@
 	router  *router.Router
 	pool    *backend.Pool
 	server  *frontend.Server
+	edge    *edge.Edge     // nil where it is off
 	config  *config.Config // in force
 	watches []*watch       // under way, the newest last
 }
 
 // newNode puts a router together; it listens, and takes clients once run.
-func newNode(c *config.Config, loop *clock.Loop, log *slog.Logger) (*node, error) {
+func newNode(c *config.Config, opt *options.Options, loop *clock.Loop, log *slog.Logger) (*node, error) {
 	budget := netio.NewBudget(cmp.Or(c.Sockets, defaultSockets))
 	r, err := router.New(loop, c.Settings.Config, c.Seed)
 	if err != nil {
@@ -53,6 +56,11 @@
 	if n.server, err = frontend.Listen(c.Listen, loop, budget, r); err != nil {
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
+	if opt.Edge != nil {
+		if n.edge, err = edge.New(opt.Edge, loop, log, budget, r, c.Seed); err != nil {
+			return nil, err
+		}
+	}
 	return n, nil
 }
 
@@ -134,6 +142,11 @@
 	failed := make(chan error, 1)
 	go func() { failed <- n.server.Serve() }()
 	n.log.Info("serving", "listen", n.server.Address(), "hosts", len(n.config.Known.Hosts))
+	if n.edge != nil {
+		n.edge.Start()
+		coap, mqtt, frames := n.edge.Addresses()
+		n.log.Info("edge serving", "coap", coap, "mqtt", mqtt, "frames", frames)
+	}
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving clients: %w", err)
@@ -142,11 +155,21 @@
 	linger := n.loop.After(lingerFor)
 	n.log.Info("stopping", "linger_ms", lingerFor)
 	<-linger
-	n.loop.Do(n.server.Drain)
+	n.loop.Do(func() {
+		n.server.Drain()
+		if n.edge != nil {
+			n.edge.Drain()
+		}
+	})
 	for open := 1; open > 0; { // one more round lets the last answers leave
 		n.loop.Do(func() { open = n.router.Open() })
 		<-n.loop.After(leaveFor)
 	}
+	if n.edge != nil {
+		if err := n.edge.Close(); err != nil {
+			return fmt.Errorf("closing the edge: %w", err)
+		}
+	}
 	n.log.Info("stopped")
 	return nil
 }
--- a/cmd/lotusbend/story_test.go
+++ b/cmd/lotusbend/story_test.go
@@ -16,6 +16,7 @@
 
 	"lotusbend/internal/clock"
 	"lotusbend/internal/config"
+	"lotusbend/internal/options"
 	"lotusbend/internal/pgwire"
 )
 
@@ -79,7 +80,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if w.node, err = newNode(c, w.loop, slog.New(slog.NewTextHandler(w, nil))); err != nil {
+	if w.node, err = newNode(c, &options.Options{}, w.loop, slog.New(slog.NewTextHandler(w, nil))); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1105,7 +1105,7 @@
 		}
 		return fmt.Sprint(g.sends, g.probes, g.cancels)
 	}
-	if play() != play() {
+	if first, second := play(), play(); first != second {
 		t.Error("two runs of the same events differ")
 	}
 }
--- a/internal/edge/intake/reading.go
+++ b/internal/edge/intake/reading.go
@@ -66,8 +66,11 @@
 }
 
 // group draws a device's group, the same at every router.
-func (r *Route) group(device string) int {
-	return r.Groups[xxhash.Sum64String(device)%uint64(len(r.Groups))]
+func (r *Route) group(device string) int { return GroupOf(r.Groups, device) }
+
+// GroupOf draws one of several groups by a name.
+func GroupOf(groups []int, name string) int {
+	return groups[xxhash.Sum64String(name)%uint64(len(groups))]
 }
 
 type phase uint8
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -1,9 +1,10 @@
-// Package netio puts netpoll connections behind writes that never block the
+// Package netio puts connections behind writes that never block the
 // caller, so that a slow peer stalls nobody, and counts sockets.
 package netio
 
 import (
 	"errors"
+	"net"
 	"sync"
 	"syscall"
 
@@ -18,7 +19,7 @@
 // Conn is one connection. Its methods may be called from anywhere and return
 // at once.
 type Conn struct {
-	nc       netpoll.Connection
+	nc       net.Conn
 	mu       sync.Mutex
 	out      []byte
 	done     []func(error)
@@ -27,8 +28,8 @@
 	closed   bool
 }
 
-// NewConn returns a Conn on nc.
-func NewConn(nc netpoll.Connection) *Conn { return &Conn{nc: nc} }
+// NewConn returns a Conn on nc, netpoll's or the standard library's.
+func NewConn(nc net.Conn) *Conn { return &Conn{nc: nc} }
 
 // Send writes a copy of b after what was sent before. done, if not nil, is
 // called once from another goroutine: with nil when the last byte of b is
@@ -102,7 +103,8 @@
 			return false
 		}
 	}
-	return c.nc.Reader().Len() == 0
+	r, ok := c.nc.(interface{ Reader() netpoll.Reader })
+	return !ok || r.Reader().Len() == 0
 }
 
 // Close ends the connection now. Close callbacks of the netpoll connection
@@ -147,8 +149,11 @@
 // endSending is called with the lock held, and not closed: the descriptor is
 // still this connection's, as its close callback takes the lock first.
 func (c *Conn) endSending() {
-	if f, ok := c.nc.(interface{ Fd() int }); ok {
-		_ = syscall.Shutdown(f.Fd(), syscall.SHUT_WR) // fails only where the peer has gone
+	switch f := c.nc.(type) { // it fails only where the peer has gone
+	case interface{ Fd() int }:
+		_ = syscall.Shutdown(f.Fd(), syscall.SHUT_WR)
+	case interface{ CloseWrite() error }:
+		_ = f.CloseWrite()
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -142,13 +142,22 @@
 	Number int
 	Write  bool // only a primary takes it
 	Keyed  bool // it needs an idempotency key
+	Fresh  bool // it sees all that was written before it came
+	// KeyTTL is for how many milliseconds a shard drops a repeat of a key.
+	KeyTTL float64
+	// RefusedNeverRan tells that nothing of a refused request may have run.
+	RefusedNeverRan bool
 }
 
 // Class returns a class by its name.
 func (r *Router) Class(name []byte) (Class, bool) {
 	for i := range r.cfg.Classes {
 		if c := &r.cfg.Classes[i]; c.Name == string(name) {
-			return Class{Number: i, Write: c.Consistency == decide.Write, Keyed: c.Repeat == decide.Keyed}, true
+			return Class{
+				Number: i, Write: c.Consistency == decide.Write, Keyed: c.Repeat == decide.Keyed,
+				Fresh: c.Consistency == decide.Fresh, KeyTTL: clock.Millis(c.KeyTTL),
+				RefusedNeverRan: c.Repeat != decide.Pure && (c.Repeat != decide.Keyed || c.Scope != decide.ScopeAll),
+			}, true
 		}
 	}
 	return Class{}, false
