decide: let a fresh read look for the primary where no write does

Cause: after a failover a group that was asked for nothing but fresh reads never found its new primary: only held writes are sent to look for it. The edge checks a reading with such a read before it writes, so that its devices waited for ever once both known primaries had changed.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -815,7 +815,8 @@
 // scout sends one held write to look for the primary: a miss is cheap and tells the role. The member
 // announced last goes first, then the one longest unasked. It answers every change of
 // primary (death, hang, drain, a wrong list). It could hurt only by the tries it uses, which are paced and
-// kept from a request's last ones.
+// kept from a request's last ones. Where no write is held and replicas turn a read away that they are behind
+// for, a fresh read does: else a group that is only read at the primary would never find it.
 func (r *Router) scout(g *group, now time.Duration) {
 	if !r.seeking(g) || now < g.scoutAt || len(g.held) == 0 {
 		return
@@ -831,10 +832,16 @@
 	if to == nil {
 		return
 	}
-	i := slices.IndexFunc(g.held, func(q *request) bool {
-		return q.held && q.class.Consistency == Write && len(q.attempts)+keepTries < r.cfg.MaxAttempts &&
-			r.maySend(q, to, now)
-	})
+	may := func(c Consistency) func(*request) bool {
+		return func(q *request) bool {
+			return q.held && q.class.Consistency == c && len(q.attempts)+keepTries < r.cfg.MaxAttempts &&
+				r.maySend(q, to, now)
+		}
+	}
+	i := slices.IndexFunc(g.held, may(Write))
+	if i < 0 && r.cfg.Check != Unchecked {
+		i = slices.IndexFunc(g.held, may(Fresh))
+	}
 	if i < 0 {
 		return
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1302,3 +1302,42 @@
 		t.Errorf("share of reads at primaries fell to %.2f", g.r.spill)
 	}
 }
+
+// A group that is asked for nothing but fresh reads must find its new primary,
+// too, where replicas refuse what they are behind for; elsewhere one would
+// answer from old data.
+func TestAFreshReadLooksForThePrimaryWhereReplicasCheck(t *testing.T) {
+	for _, check := range []Check{RefuseStale, Unchecked} {
+		cfg := testConfig()
+		cfg.Check = check
+		g := newRig(t, cfg, trio())
+		done, before := 0, 0
+		for n := range 60 { // the primary, 1, is gone; 3 has taken over
+			if n == 20 {
+				before = len(g.sends)
+			}
+			g.arrive(freshRead)
+			g.wait(scoutPace)
+			for ; done < len(g.sends); done++ {
+				switch s := g.sends[done]; s.member {
+				case 1:
+					g.end(s, ConnectFailed, RoleUnknown, 0)
+				case 2:
+					g.end(s, Miss, RoleReplica, 0)
+				case 3:
+					g.end(s, OK, RolePrimary, g.now)
+				}
+			}
+		}
+		asked := map[uint32]int{}
+		for _, s := range g.sends[before:] {
+			asked[s.member]++
+		}
+		if check == Unchecked && asked[2]+asked[3] > 0 {
+			t.Errorf("fresh reads went to replicas that check nothing: %v", asked)
+		}
+		if check == RefuseStale && asked[3] < 20 {
+			t.Errorf("the new primary was not found: %v", asked)
+		}
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -232,6 +232,20 @@
 	e.arm()
 }
 
+// reportEvery is how often the counts are logged, in milliseconds.
+const reportEvery = 60000
+
+// report logs the counts while there is something to tell.
+func (e *Edge) report(last intake.Stats) {
+	e.loop.At(e.loop.Now()+reportEvery, func() {
+		now := e.intake.Stats()
+		if now != last {
+			e.log.Info("edge", "connections", e.open, "partial_bytes", e.partial.Bytes(), "counts", now)
+		}
+		e.report(now)
+	})
+}
+
 // Drain begins to stop: nothing new is taken, what is under way is answered.
 // It runs inside Do.
 func (e *Edge) Drain() {
--- a/internal/edge/sockets.go
+++ b/internal/edge/sockets.go
@@ -11,6 +11,7 @@
 
 	"lotusbend/internal/clock"
 	"lotusbend/internal/edge/frames"
+	"lotusbend/internal/edge/intake"
 	"lotusbend/internal/edge/mqtt"
 	"lotusbend/internal/netio"
 	"lotusbend/internal/slots"
@@ -115,6 +116,7 @@
 
 // Start takes devices from now on.
 func (e *Edge) Start() {
+	e.loop.Do(func() { e.report(intake.Stats{}) })
 	if e.udp != nil {
 		go e.readDatagrams()
 		go e.writeDatagrams()
