--- a/decide/decide.go
+++ b/decide/decide.go
@@ -42,6 +42,7 @@
 	admitCut     = 0.8                    // by which a full answer lowers the share of reads let in, ...
 	admitGain    = 0.02                   // ... and by which a good one raises it: queues take long to drain
 	scoutPace    = 100 * time.Millisecond // between writes that look for a primary: elections take seconds
+	readsSeek    = 3 * time.Second        // without a write that looked, after which a fresh read does
 	keepTries    = 3                      // attempts of a request that scouting may not use up
 	reportAge    = 500 * time.Millisecond // how far behind an answer a report's word on a role may be
 	watchRetry   = 200 * time.Millisecond // first wait when the list could not be had; doubles with jitter
@@ -94,6 +95,7 @@
 	primary, announced   *member // primary as believed, nil while sought
 	held                 []*request
 	scoutAt, usedAt, gap time.Duration
+	soughtAt             time.Duration            // when its primary was last known, or is looked for
 	tokens               map[uint64]time.Duration // sessions' commits
 	floor, latest        time.Duration            // the latest commit among those forgotten; of all
 }
@@ -815,9 +817,12 @@
 // scout sends one held write to look for the primary: a miss is cheap and tells the role. The member
 // announced last goes first, then the one longest unasked. It answers every change of
 // primary (death, hang, drain, a wrong list). It could hurt only by the tries it uses, which are paced and
-// kept from a request's last ones. Where no write is held and replicas turn a read away that they are behind
-// for, a fresh read does: else a group that is only read at the primary would never find it.
+// kept from a request's last ones. Where no write came for a while and replicas turn a read away that they
+// are behind for, a fresh read looks: else a group that is only read at the primary would never find it.
 func (r *Router) scout(g *group, now time.Duration) {
+	if !r.seeking(g) {
+		g.soughtAt = now
+	}
 	if !r.seeking(g) || now < g.scoutAt || len(g.held) == 0 {
 		return
 	}
@@ -839,7 +844,7 @@
 		}
 	}
 	i := slices.IndexFunc(g.held, may(Write))
-	if i < 0 && r.cfg.Check != Unchecked {
+	if i < 0 && r.cfg.Check != Unchecked && now >= max(g.soughtAt, g.scoutAt)+readsSeek {
 		i = slices.IndexFunc(g.held, may(Fresh))
 	}
 	if i < 0 {
