Let the drill's devices resume transfers, and its routers find other addresses

Cause: CoAP devices of the drill began a transfer of many small blocks anew after each lost block and did not end in time; two drills at once took each other's addresses. Change: a device repeats the block that was not answered; a router that does not start gets other addresses.

--- a/internal/lab/device.go
+++ b/internal/lab/device.go
@@ -41,6 +41,7 @@
 	from     time.Time
 	pad      int
 	answers  int
+	trouble  error // the last
 }
 
 // transport speaks one protocol to one router. It sends a batch and waits for
@@ -152,6 +153,9 @@
 		}
 		d.mu.Unlock()
 		if err != nil {
+			d.mu.Lock()
+			d.trouble = fmt.Errorf("after %.1f s: %w", time.Since(d.from).Seconds(), err)
+			d.mu.Unlock()
 			t.close()
 			t = nil
 			if d.rand.IntN(2) == 0 {
--- a/internal/lab/drill.go
+++ b/internal/lab/drill.go
@@ -160,6 +160,19 @@
 		res.PeakBytes = max(res.PeakBytes, r.Peak)
 	}
 	audit(devices, f.Cluster.Executions(), &res)
+	for _, d := range devices {
+		d.mu.Lock()
+		open := 0
+		for _, r := range d.readings {
+			if !r.Acked {
+				open++
+			}
+		}
+		d.mu.Unlock()
+		if open > 0 {
+			fmt.Fprintf(o.Progress, "edge drill: %s waits for %d answers; its last trouble: %v\n", d.name, open, d.trouble)
+		}
+	}
 	res.KeyRepeats, res.Aborted = f.Cluster.Counts()
 	res.Seconds = float64(time.Since(began).Milliseconds()) / 1000
 	return res, nil
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -126,38 +126,49 @@
 	}
 	for n := range o.Routers {
 		r := &Router{Name: fmt.Sprint("n", n+1), dir: f.dir, binary: o.Binary, log: o.Log}
-		for _, a := range []struct {
-			network string
-			to      *string
-		}{{"tcp", &r.Listen}, {"udp", &r.CoAP}, {"tcp", &r.MQTT}, {"tcp", &r.Frame}} {
-			if *a.to, err = freeAddress(a.network); err != nil {
+		f.Routers = append(f.Routers, r)
+		// An address found free may be taken by the time the router listens.
+		for range 5 {
+			if err = f.configure(r, n, o, strings.Join(groups, ", ")); err != nil {
 				return f, err
 			}
-		}
-		config := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":4096},"known":%s,"settings":%s}`,
-			r.Name, r.Listen, f.Cluster.Discovery, o.Standin.Seed+uint64(n), f.Cluster.List(), fmt.Sprintf(settings, o.Routers))
-		extra := o.Edge
-		if o.Store {
-			extra += fmt.Sprintf("%q: %q, ", "store", filepath.Join(f.dir, r.Name+".db"))
-		}
-		list := strings.Join(groups, ", ")
-		edge := fmt.Sprintf(edgeSettings, r.CoAP, r.MQTT, r.Frame, extra, list, list)
-		for name, text := range map[string]string{r.configPath(): config, r.settingsPath(): edge} {
-			if err = os.WriteFile(name, []byte(text), 0o600); err != nil {
+			if err = r.Start(); err != nil {
 				return f, err
 			}
+			if err = r.waitReady(10 * time.Second); err == nil {
+				break
+			}
 		}
-		if err = r.Start(); err != nil {
+		if err != nil {
 			return f, err
 		}
-		f.Routers = append(f.Routers, r)
 	}
-	for _, r := range f.Routers {
-		if err = r.waitReady(10 * time.Second); err != nil {
-			return f, err
+	return f, nil
+}
+
+// configure finds addresses for a router and writes its files.
+func (f *Fleet) configure(r *Router, n int, o FleetOptions, groups string) (err error) {
+	for _, a := range []struct {
+		network string
+		to      *string
+	}{{"tcp", &r.Listen}, {"udp", &r.CoAP}, {"tcp", &r.MQTT}, {"tcp", &r.Frame}} {
+		if *a.to, err = freeAddress(a.network); err != nil {
+			return err
 		}
 	}
-	return f, nil
+	config := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":4096},"known":%s,"settings":%s}`,
+		r.Name, r.Listen, f.Cluster.Discovery, o.Standin.Seed+uint64(n), f.Cluster.List(), fmt.Sprintf(settings, o.Routers))
+	extra := o.Edge
+	if o.Store {
+		extra += fmt.Sprintf("%q: %q, ", "store", filepath.Join(f.dir, r.Name+".db"))
+	}
+	edge := fmt.Sprintf(edgeSettings, r.CoAP, r.MQTT, r.Frame, extra, groups, groups)
+	for name, text := range map[string]string{r.configPath(): config, r.settingsPath(): edge} {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (r *Router) configPath() string   { return filepath.Join(r.dir, r.Name+".json") }
--- a/internal/lab/transports.go
+++ b/internal/lab/transports.go
@@ -51,8 +51,8 @@
 
 // blockSize is that of Block1, and szx its code.
 const (
-	blockSize = 64
-	szx       = 2
+	blockSize = 128
+	szx       = 3
 )
 
 // exchange sends a batch in one request or in blocks.
@@ -61,7 +61,7 @@
 	t.started = false
 	t.tag = binary.BigEndian.AppendUint64(nil, t.d.rand.Uint64())
 	last := 0
-	if len(payload) > 4*blockSize {
+	if len(payload) > 2*blockSize {
 		last = (len(payload) - 1) / blockSize
 	}
 	for n := 0; n <= last; n++ {
@@ -74,6 +74,9 @@
 			}
 		}
 		m, err := t.request(ctx, part, block)
+		for again := 0; err != nil && last > 0 && again < 2 && ctx.Err() == nil; again++ { // the transfer goes on where it stood
+			m, err = t.request(ctx, part, block)
+		}
 		if err != nil {
 			return nil, t.started, err
 		}
@@ -128,10 +131,10 @@
 	if err != nil {
 		return nil, err
 	}
-	wait := 700 * time.Millisecond
+	wait := 400 * time.Millisecond
 	in := make([]byte, 2048)
 	acked := false
-	for range 4 {
+	for range 5 {
 		if !acked {
 			if _, err := t.conn.Write(b[:n]); err != nil {
 				return nil, err
@@ -176,7 +179,7 @@
 			a.Payload = append([]byte(nil), a.Payload...)
 			return a, nil
 		}
-		wait *= 2
+		wait = wait * 3 / 2
 	}
 	return nil, errors.New("no answer")
 }
