Test the edge with real clients, bound its memory for idle devices, measure it

Cause: 10,000 idle MQTT devices held 98 MB: each reading goroutine kept the deep stack that its protocol had needed once.

--- a/cmd/lotusbend/main_test.go
+++ b/cmd/lotusbend/main_test.go
@@ -35,6 +35,28 @@
 	}
 }
 
+// A settings file in disorder ends the start with one plain line.
+func TestBadSettingsEndTheStartWithOneLine(t *testing.T) {
+	dir := t.TempDir()
+	config, settings := filepath.Join(dir, "config.json"), filepath.Join(dir, "settings.json5")
+	for text, want := range map[string]string{
+		"{\n\"lug\": {}}": `settings.json5:2: lug: unknown key; is "log" meant?`,
+		`{"edge": {"frames": "127.0.0.1:0", "routes": [{"match": "r", "groups": [1], "write": "view", "check": "view"}]}}`: `edge.routes[0].write: class "view" is no class of writes`,
+	} {
+		for name, contents := range map[string][]byte{config: configuration(listen(t), 100), settings: []byte(text)} {
+			if err := os.WriteFile(name, contents, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		program := exec.Command(os.Args[0])
+		program.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+config, "LOTUSBEND_SETTINGS="+settings)
+		out, err := program.CombinedOutput()
+		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), want) {
+			t.Errorf("%s: %v: %q", text, err, out)
+		}
+	}
+}
+
 // SIGHUP must not end the program; it reads the file anew, and one that is in
 // disorder leaves the old configuration in force.
 func TestSIGHUPReadsTheConfigurationAnew(t *testing.T) {
@@ -48,7 +70,15 @@
 	first, second := listen(t), listen(t)
 	put(configuration(first, 100))
 	program := exec.Command(os.Args[0])
-	program.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+path)
+	settings := filepath.Join(t.TempDir(), "settings.json5")
+	set := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	set(`{"log": {"form": "json"}} // from here on`)
+	program.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+path, "LOTUSBEND_SETTINGS="+settings)
 	log, err := program.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -72,7 +102,7 @@
 			t.Fatal(err)
 		}
 	}
-	await("serving")
+	await(`"msg":"serving"`)
 	put(configuration(second, 200))
 	signal(syscall.SIGHUP)
 	await("configuration read anew")
@@ -80,6 +110,12 @@
 	put(bytes.Replace(configuration(first, 100), []byte(`"settings"`), []byte(`"other"`), 1))
 	signal(syscall.SIGHUP)
 	await("not taken")
+	set(`{"log": {"form": "jsn"}}`)
+	signal(syscall.SIGHUP)
+	await("the new settings file is not taken")
+	set(`{"log": {"form": "text"}}`)
+	signal(syscall.SIGHUP)
+	await("takes effect at the next start")
 	signal(syscall.SIGTERM)
 	await("stopped")
 	if err := program.Wait(); err != nil {
--- a/cmd/lotuslab/main.go
+++ b/cmd/lotuslab/main.go
@@ -28,6 +28,9 @@
 	Drill struct {
 		Edge edgeCmd `cmd:"" help:"Devices on poor links: is every reading recorded exactly once?"`
 	} `cmd:"" help:"Check a promise under troubles; the last line is one JSON object."`
+	Measure struct {
+		Edge measureCmd `cmd:"" help:"Latency beside the PostgreSQL front, and the memory of idle devices."`
+	} `cmd:"" help:"Measure; the last line is one JSON object."`
 }
 
 func main() {
@@ -117,6 +120,33 @@
 	return nil
 }
 
+type measureCmd struct {
+	Requests int    `help:"Through each front." default:"2000"`
+	Idle     int    `help:"Idle MQTT devices." default:"9000"`
+	Router   string `help:"The router's program; beside this one by default." type:"path"`
+}
+
+// Run implements the command.
+func (c *measureCmd) Run(ctx context.Context) error {
+	if c.Requests < 100 || c.Requests > 100000 || c.Idle < 0 || c.Idle > 100000 {
+		return errors.New("requests must be 100 to 100000 and idle devices at most 100000")
+	}
+	binary, err := lab.FindRouter(c.Router)
+	if err != nil {
+		return err
+	}
+	f, err := lab.MeasureEdge(ctx, binary, c.Requests, c.Idle, os.Stderr)
+	if err != nil {
+		return err
+	}
+	line, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(line))
+	return nil
+}
+
 type upCmd struct {
 	Seed   uint64 `help:"Of everything that is drawn." default:"1"`
 	Groups int    `help:"How many groups of hosts." default:"2"`
--- /dev/null
+++ b/internal/edge/bench_test.go
@@ -0,0 +1,194 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mochi-mqtt/server/v2/packets"
+	coapmessage "github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/plgd-dev/go-coap/v3/udp/coder"
+
+	"lotusbend/internal/edge/batch"
+	"lotusbend/internal/edge/frames"
+	"lotusbend/internal/edge/mqtt"
+	edgeoptions "lotusbend/internal/options"
+)
+
+// The benchmarks send one reading at a time and wait for its answer, on
+// loopback, before a table in memory: what is measured is the edge alone. Run
+// them with -cpu 1 for readings a second on one core.
+
+func (w *world) live(b *testing.B) {
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	w.clock.Set(float64(time.Now().UnixMilli()))
+	go func() { // the edge's own deadlines, by the machine's clock
+		for ctx.Err() == nil {
+			w.clock.Set(float64(time.Now().UnixMilli()))
+			w.loop.Fire()
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+}
+
+func reading(seq uint64, elapsed float64) *batch.Batch {
+	return &batch.Batch{Device: "meter", Epoch: 1, Elapsed: &elapsed, Readings: []batch.Reading{{Seq: seq, Value: []byte("12.5 kWh")}}}
+}
+
+func benchWorld(b *testing.B) *world {
+	w := newWorld(b, nil)
+	w.live(b)
+	b.ReportAllocs()
+	return w
+}
+
+func BenchmarkFrames(b *testing.B) {
+	w := benchWorld(b)
+	p := w.dial().hello()
+	began := time.Now()
+	b.ResetTimer()
+	for i := range b.N {
+		p.send(frames.Readings{Kind: frames.KindReadings, ID: uint32(i), Route: "readings", Batch: *reading(uint64(i), 0)})
+		var a frames.Answer
+		if err := p.receive(&a); err != nil || a.Ranges[0].Status != 0 {
+			b.Fatal(a, err)
+		}
+	}
+	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "readings/s")
+}
+
+func BenchmarkMQTT(b *testing.B) {
+	w := benchWorld(b)
+	_, address, _ := w.edge.Addresses()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = c.Close() })
+	connect(b, c, "bench")
+	began := time.Now()
+	b.ResetTimer()
+	in := make([]byte, 256)
+	for i := range b.N {
+		pk := packets.Packet{FixedHeader: packets.FixedHeader{Type: packets.Publish, Qos: 1}, ProtocolVersion: 4, TopicName: "readings",
+			PacketID: uint16(i%65535 + 1), Payload: w.codec.Encode(reading(uint64(i), 0))}
+		if _, err := c.Write(mqtt.Encode(&pk)); err != nil {
+			b.Fatal(err)
+		}
+		if n, err := c.Read(in); err != nil || in[0] != packets.Puback<<4 {
+			b.Fatalf("%x, %v", in[:n], err)
+		}
+	}
+	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "readings/s")
+}
+
+func connect(b testing.TB, c net.Conn, id string) {
+	hello := packets.Packet{FixedHeader: packets.FixedHeader{Type: packets.Connect}, ProtocolVersion: 4,
+		Connect: packets.ConnectParams{ProtocolName: []byte("MQTT"), ClientIdentifier: id, Keepalive: 300}}
+	in := make([]byte, 64)
+	if _, err := c.Write(mqtt.Encode(&hello)); err != nil {
+		b.Fatal(err)
+	}
+	if n, err := c.Read(in); err != nil || in[0] != packets.Connack<<4 {
+		b.Fatalf("%x, %v", in[:n], err)
+	}
+}
+
+func BenchmarkCoAP(b *testing.B) {
+	w := benchWorld(b)
+	address, _, _ := w.edge.Addresses()
+	c, err := net.Dial("udp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = c.Close() })
+	var echo []byte
+	in, out := make([]byte, 2048), make([]byte, 2048)
+	post := func(i int) codes.Code {
+		m := coapmessage.Message{Type: coapmessage.Confirmable, Code: codes.POST, MessageID: int32(i % 65536), Token: []byte{1, 2}, Payload: w.codec.Encode(reading(uint64(i), 0))}
+		m.Options = m.Options.Add(coapmessage.Option{ID: coapmessage.URIPath, Value: []byte("readings")})
+		if echo != nil {
+			m.Options = m.Options.Add(coapmessage.Option{ID: coapmessage.Echo, Value: echo})
+		}
+		n, err := coder.DefaultCoder.Encode(m, out)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := c.Write(out[:n]); err != nil {
+			b.Fatal(err)
+		}
+		if n, err = c.Read(in); err != nil {
+			b.Fatal(err)
+		}
+		a := &coapmessage.Message{Options: make(coapmessage.Options, 0, 16)}
+		if _, err := coder.DefaultCoder.Decode(in[:n], a); err != nil {
+			b.Fatal(err)
+		}
+		e, err := a.Options.GetBytes(coapmessage.Echo)
+		if err != nil {
+			b.Fatal(err)
+		}
+		echo = bytes.Clone(e)
+		return a.Code
+	}
+	post(0)
+	began := time.Now()
+	b.ResetTimer()
+	for i := range b.N {
+		if code := post(i + 1); code != codes.Changed {
+			b.Fatal(code)
+		}
+	}
+	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "readings/s")
+}
+
+// BenchmarkIdleMQTT tells what idle devices cost. The devices' own end is in
+// the same process, so that it holds sockets alone: their descriptors and no
+// goroutines.
+func BenchmarkIdleMQTT(b *testing.B) {
+	const devices = 9000
+	w := newWorld(b, func(o *edgeoptions.Edge) { o.Connections, o.Sessions = 20000, 20000 })
+	w.clock.Set(float64(time.Now().UnixMilli()))
+	_, address, _ := w.edge.Addresses()
+	for range b.N {
+		before := resident(b)
+		var all []net.Conn
+		for n := range devices {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				b.Fatal(err)
+			}
+			connect(b, c, fmt.Sprint("idle-", n))
+			all = append(all, c)
+		}
+		b.ReportMetric(float64(resident(b)-before)/devices, "B/device-both-ends")
+		b.ReportMetric(float64(resident(b)), "B-resident")
+		for _, c := range all {
+			_ = c.Close()
+		}
+		w.until("their end", func() bool { return w.edge.open == 0 })
+	}
+}
+
+// resident returns the bytes that the process holds in memory.
+func resident(b *testing.B) int64 {
+	runtime.GC()
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		b.Skip(err)
+	}
+	pages, err := strconv.ParseInt(strings.Fields(string(text))[1], 10, 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return pages * int64(os.Getpagesize())
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -54,6 +54,8 @@
 	partial  *progress.Ledger
 	udp      *datagrams
 	tcp      []*listener
+	incoming chan chunk
+	spare    chan *[]byte // read buffers
 	conns    slots.Table[conn]
 	open     int
 	messages slots.Table[message]
@@ -91,7 +93,8 @@
 // New puts an edge together; it takes devices once started. An error is of
 // one line.
 func New(opt *options.Edge, loop *clock.Loop, log *slog.Logger, budget *netio.Budget, requests Requests, seed uint64) (*Edge, error) {
-	e := &Edge{loop: loop, log: log, opt: opt, budget: budget, requests: requests, codec: batch.NewCodec()}
+	e := &Edge{loop: loop, log: log, opt: opt, budget: budget, requests: requests, codec: batch.NewCodec(),
+		incoming: make(chan chunk), spare: make(chan *[]byte, maxSpare)}
 	rules, err := e.bindAll()
 	if err != nil {
 		return nil, err
--- a/internal/edge/frames/frames.go
+++ b/internal/edge/frames/frames.go
@@ -23,6 +23,9 @@
 // Version is the one that is spoken.
 const Version = 1
 
+// MaxHello is how long the first frame of a connection may be.
+const MaxHello = 256
+
 // HeaderLen is how many bytes give a frame's length.
 const HeaderLen = 4
 
--- a/internal/edge/mqtt/mqtt.go
+++ b/internal/edge/mqtt/mqtt.go
@@ -116,6 +116,10 @@
 // Tick does what is due.
 func (s *Server) Tick(now float64) { s.timers.Tick(now) }
 
+// MayBegin tells whether a connection may begin with b: only CONNECT does, and
+// what speaks another protocol need not be heard out.
+func MayBegin(b byte) bool { return b == packets.Connect<<4 }
+
 // Frame returns the length of the packet at the beginning of b, 0 if more of
 // it must come first.
 func Frame(b []byte, most int) (int, error) {
--- a/internal/edge/sockets.go
+++ b/internal/edge/sockets.go
@@ -28,6 +28,8 @@
 	partFor = 1000
 	// maxQueuedDatagrams bounds what waits for the socket.
 	maxQueuedDatagrams = 1024
+	// maxSpare is how many read buffers are kept for the next to read.
+	maxSpare = 64
 )
 
 // datagrams is the UDP socket: one goroutine reads, one writes.
@@ -64,10 +66,12 @@
 	proto    protocol
 	link     *netio.Conn
 	peer     netip.Addr
-	partial  []byte // of a message whose rest is to come; the reading goroutine's
+	taken    chan bool // whether to go on reading
+	partial  []byte    // of a message whose rest is to come
 	first    *clock.Deadline
 	unread   int // bytes on their way to the device
 	reading  *clock.Deadline
+	begun    bool // it has sent a whole message
 	leaving  bool
 	released bool
 }
@@ -121,6 +125,9 @@
 		go e.readDatagrams()
 		go e.writeDatagrams()
 	}
+	if len(e.tcp) > 0 {
+		go e.takeAll() // as long as the process runs: a connection may still hand something over
+	}
 	for _, l := range e.tcp {
 		go e.accept(l)
 	}
@@ -199,7 +206,7 @@
 			return
 		}
 		e.open++
-		c = &conn{edge: e, proto: proto, link: netio.NewConn(tcp), peer: peer}
+		c = &conn{edge: e, proto: proto, link: netio.NewConn(tcp), peer: peer, taken: make(chan bool, 1)}
 		c.ref = e.conns.Add(c)
 		id, now := c.ref.ID(), e.loop.Now()
 		c.first = e.loop.At(now+e.opt.FirstMs, c.link.Close)
@@ -212,50 +219,87 @@
 	return c
 }
 
+// chunk is what came on a connection, in a lent buffer.
+type chunk struct {
+	conn *conn
+	b    *[]byte
+	n    int
+}
+
 // scratch lends what connections read into, so that idle ones hold none.
-var scratch = sync.Pool{New: func() any { b := make([]byte, readSize); return &b }}
+func (e *Edge) lend() *[]byte {
+	select {
+	case b := <-e.spare:
+		return b
+	default:
+		b := make([]byte, readSize)
+		return &b
+	}
+}
 
-// read takes bytes as they come until the connection ends. It waits for the
-// descriptor to be readable without a buffer.
+func (e *Edge) giveBack(b *[]byte) {
+	select {
+	case e.spare <- b:
+	default:
+	}
+}
+
+// read waits for bytes until the connection ends. It holds no buffer while it
+// waits, and hands what comes to the one goroutine that takes it: protocols
+// want deep stacks, and ten thousand connections would keep theirs.
 func (c *conn) read(tcp *net.TCPConn) {
 	defer c.gone()
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return
 	}
+	e := c.edge
 	for {
-		var b *[]byte
-		var n int
-		var failed error
-		err := raw.Read(func(fd uintptr) bool {
-			b = scratch.Get().(*[]byte)
-			for {
-				n, failed = syscall.Read(int(fd), *b)
-				if !errors.Is(failed, syscall.EINTR) {
-					break
-				}
-			}
-			if errors.Is(failed, syscall.EAGAIN) {
-				scratch.Put(b)
-				return false
+		var came chunk
+		err := raw.Read(func(fd uintptr) (done bool) {
+			came = chunk{conn: c, b: e.lend()}
+			came.n, done = readOnce(int(fd), *came.b)
+			if !done || came.n <= 0 {
+				e.giveBack(came.b)
 			}
-			return true
+			return done
 		})
-		if err != nil {
+		if err != nil || came.n <= 0 {
 			return
 		}
-		if failed != nil || n <= 0 {
-			scratch.Put(b)
+		e.incoming <- came
+		if !<-c.taken {
 			return
 		}
-		more := c.take((*b)[:n])
-		scratch.Put(b)
-		if !more {
-			return
+	}
+}
+
+// readOnce reads what is there; done is false if nothing is yet.
+func readOnce(fd int, b []byte) (n int, done bool) {
+	for {
+		n, err := syscall.Read(fd, b)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return 0, false
+		case err != nil:
+			return 0, true
+		default:
+			return n, true
 		}
 	}
 }
 
+// takeAll takes what the connections read, one after another: all of it needs
+// the loop anyway.
+func (e *Edge) takeAll() {
+	for c := range e.incoming {
+		more := c.conn.take((*c.b)[:c.n])
+		e.giveBack(c.b)
+		c.conn.taken <- more
+	}
+}
+
 // take reads whole messages off what came. What is left waits for its rest,
 // and is booked.
 func (c *conn) take(b []byte) (more bool) {
@@ -284,6 +328,7 @@
 			}
 			e.partial.End(owner)
 			e.loop.Cancel(c.first)
+			c.begun = true
 			if c.proto == protoMQTT {
 				e.mqtt.Packet(now, owner, whole[:n])
 			} else {
@@ -312,13 +357,22 @@
 	return more
 }
 
+var errNoProtocol = errors.New("edge: no protocol that is spoken here")
+
 // frame returns the length of the message at the beginning of b, 0 if that
 // is not known yet.
 func (c *conn) frame(b []byte) (int, error) {
+	most := c.edge.opt.MessageBytes
 	if c.proto == protoMQTT {
-		return mqtt.Frame(b, c.edge.opt.MessageBytes)
+		if !c.begun && !mqtt.MayBegin(b[0]) {
+			return 0, errNoProtocol
+		}
+		return mqtt.Frame(b, most)
+	}
+	if !c.begun {
+		most = min(most, frames.MaxHello)
 	}
-	return frames.Frame(b, c.edge.opt.MessageBytes)
+	return frames.Frame(b, most)
 }
 
 // stalled ends a connection whose message makes too little progress, or whose
--- a/internal/lab/drill.go
+++ b/internal/lab/drill.go
@@ -154,6 +154,9 @@
 			fmt.Fprintf(o.Progress, "edge drill: %.0f s, %d readings recorded\n", time.Since(began).Seconds(), len(f.Cluster.Executions()))
 		}
 	}
+	for o.Store && time.Since(began) < drillMost && len(f.Cluster.Executions()) < o.Devices*o.Readings {
+		time.Sleep(100 * time.Millisecond) // what is stored is delivered behind
+	}
 	time.Sleep(settle)
 	for _, r := range f.Routers {
 		r.sample()
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -70,6 +71,7 @@
 	Standin standin.Options
 	Routers int
 	Edge    string // more keys of the edge's settings, each ended by a comma
+	Sockets int    // of each router, 0 for 4096
 	Store   bool
 	Log     io.Writer // of the routers
 }
@@ -156,8 +158,8 @@
 			return err
 		}
 	}
-	config := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":4096},"known":%s,"settings":%s}`,
-		r.Name, r.Listen, f.Cluster.Discovery, o.Standin.Seed+uint64(n), f.Cluster.List(), fmt.Sprintf(settings, o.Routers))
+	config := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`,
+		r.Name, r.Listen, f.Cluster.Discovery, o.Standin.Seed+uint64(n), cmp.Or(o.Sockets, 4096), f.Cluster.List(), fmt.Sprintf(settings, o.Routers))
 	extra := o.Edge
 	if o.Store {
 		extra += fmt.Sprintf("%q: %q, ", "store", filepath.Join(f.dir, r.Name+".db"))
@@ -226,24 +228,30 @@
 }
 
 // sample notes the most memory that the process has held.
-func (r *Router) sample() {
+func (r *Router) sample() { r.Peak = max(r.Peak, r.status("VmHWM:")) }
+
+// resident returns what the process holds in memory, in bytes.
+func (r *Router) resident() int64 { return r.status("VmRSS:") }
+
+// status reads a figure of the process's memory, 0 if it does not run.
+func (r *Router) status(name string) int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.cmd == nil {
-		return
+		return 0
 	}
 	file, err := os.Open(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
 	if err != nil {
-		return
+		return 0
 	}
 	defer file.Close()
 	for lines := bufio.NewScanner(file); lines.Scan(); {
-		if rest, ok := strings.CutPrefix(lines.Text(), "VmHWM:"); ok {
-			if kb, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64); err == nil {
-				r.Peak = max(r.Peak, kb<<10)
-			}
+		if rest, ok := strings.CutPrefix(lines.Text(), name); ok {
+			kb, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64) // 0 where there is none
+			return kb << 10
 		}
 	}
+	return 0
 }
 
 // Close ends everything that was started, and removes its files.
--- /dev/null
+++ b/internal/options/options_test.go
@@ -0,0 +1,92 @@
+package options
+
+import (
+	"log/slog"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+const usual = `// a comment
+{
+	"log": {"level": "debug", "form": "json",},
+	"edge": {
+		"mqtt": "127.0.0.1:1883",
+		"readings": 5000, /* and another */
+		"store": "/tmp/x",
+		"routes": [{"match": "readings", "groups": [1, 2], "write": "w", "check": "c"}, {"match": "v", "groups": [1], "read": "r"},],
+	},
+}`
+
+func TestSettingsAreReadAndTheRestHasDefaults(t *testing.T) {
+	o, err := Parse("f", []byte(usual))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := o.Edge
+	if o.Level != slog.LevelDebug || !o.JSON || e.MQTT != "127.0.0.1:1883" || e.CoAP != "" || e.Intake.MaxReadings != 5000 ||
+		!e.Intake.Durable || len(e.Routes) != 2 || e.Routes[0].Table != "items" || e.Intake.WriteWait != 1200 {
+		t.Errorf("%+v", o)
+	}
+	if o, err = Parse("f", []byte("{}")); err != nil || o.Edge != nil || o.Level != slog.LevelInfo || o.JSON {
+		t.Errorf("%+v, %v", o, err)
+	}
+}
+
+func TestTheFileOfTheDeploymentIsInOrder(t *testing.T) {
+	const path = "../../deploy/lotusbend.json5"
+	if o, err := Load(path); err != nil || o.Edge != nil {
+		t.Errorf("%+v, %v", o, err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	on := strings.NewReplacer("/*", "", "*/", "").Replace(string(text))
+	if o, err := Parse(path, []byte(on)); err != nil || o.Edge == nil {
+		t.Errorf("its example: %+v, %v", o, err)
+	}
+}
+
+// Each fault is one line with file, line, path and what was expected.
+func TestFaultsAreToldInOneLine(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                                       `f:1: \$: the file is empty`,
+		"{\n\n  \"edgy\": 1}":                    `f:3: edgy: unknown key; is "edge" meant\?`,
+		"{\n\"log\": {\"level\": \"loud\"}}":     `f:2: log.level: "loud": one of debug, info, warn, error`,
+		"{\"log\": {}, \"log\": {}}":             `f:1: log: given twice`,
+		"[1]":                                    `f:1: \$: an object is expected`,
+		"{\"log\": ":                             `f: line 2, column 1`,
+		strings.Replace(usual, "5000", "0", 1):   `f:6: edge.readings: 0: a whole number from 1 to`,
+		strings.Replace(usual, "5000", "1.5", 1): `f:6: edge.readings: 1.5: a whole number`,
+		strings.Replace(usual, "5000", `"5"`, 1): `f:6: edge.readings: a number is expected`,
+		strings.Replace(usual, "127.0.0.1:1883", "here", 1):                                          `f:5: edge.mqtt: "here" is no address and port`,
+		strings.Replace(usual, `"groups": [1, 2]`, `"groups": [1, -2]`, 1):                           `f:8: edge.routes\[0\].groups\[1\]: -2`,
+		strings.Replace(usual, `, "check": "c"`, "", 1):                                              `f:8: edge.routes\[0\]: write needs check`,
+		strings.Replace(usual, `"match": "v"`, `"match": "v'"`, 1):                                   `f:8: edge.routes\[1\].match: "v'": 1 to 64 letters`,
+		strings.Replace(usual, `"readings": 5000`, `"readings": 5`, 1):                               `f:4: edge: per_device and per_network must not be over readings`,
+		strings.Replace(usual, `"store": "/tmp/x"`, `"retry_min_ms": 9000, "retry_max_ms": 8000`, 1): `f:4: edge: retry_min_ms is over retry_max_ms`,
+		`{"edge": {"mqtt": "127.0.0.1:1"}}`:                                                          `f:1: edge: routes are needed`,
+		`{"edge": {"routes": []}}`:                                                                   `f:1: edge: one of coap, mqtt and frames`,
+	} {
+		o, err := Parse("f", []byte(text))
+		if err == nil {
+			t.Errorf("%q was taken: %+v", text, o)
+			continue
+		}
+		if !regexp.MustCompile("^"+want).MatchString(err.Error()) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %q, want %q", text, err, want)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(usual)
+	f.Add(`{"edge": {"routes": [{"groups": 1}]}}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		if o, err := Parse("f", []byte(text)); err == nil && o.Edge != nil && len(o.Edge.Routes) == 0 {
+			t.Error("an edge without routes")
+		}
+	})
+}
--- a/internal/options/tree.go
+++ b/internal/options/tree.go
@@ -28,7 +28,7 @@
 }
 
 func parse(name string, text []byte) (*tree, error) {
-	v, err := hujson.Parse(text)
+	v, err := hujson.Parse(append(bytes.Clone(text), '\n')) // a comment may be the last line
 	if err != nil {
 		return nil, fmt.Errorf("%s: %s", name, strings.TrimPrefix(err.Error(), "hujson: "))
 	}
