--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -394,8 +394,14 @@
 			}
 		}
 	}()
-	w.until("its end", func() bool { return w.edge.open == 0 })
-	<-ended
+	most := 0
+	w.until("its end", func() bool {
+		w.edge.conns.Each(func(_ slots.Ref, c *conn) { most = max(most, c.unread) })
+		return w.edge.open == 0
+	})
+	if <-ended; most > maxUnread+1024 {
+		t.Errorf("%d bytes were kept for it", most)
+	}
 }
 
 func TestWhatIsNoProtocolEndsAtOnceAndGoesNowhere(t *testing.T) {
--- a/internal/edge/intake/intake_test.go
+++ b/internal/edge/intake/intake_test.go
@@ -199,6 +199,10 @@
 	s.want("check9")
 	s.offerValue("a", 2, 0, "fresh", true) // a new epoch, seen for the first time
 	s.want("check0")
+	s.served("fresh")
+	s.want("recorded0")
+	s.offerValue("a", 2, 1, "fresh", true)
+	s.want("write1")
 	s.offerValue("a", 1, 12, "old", true) // of an epoch that has passed
 	s.want("check12")
 }
--- a/internal/lab/device.go
+++ b/internal/lab/device.go
@@ -90,7 +90,7 @@
 		if i >= made || now.Before(r.due) || len(out) > 0 && out[0].Epoch != r.Epoch {
 			continue
 		}
-		if out = append(out, r); len(out) == 4 {
+		if out = append(out, r); len(out) == 6 {
 			break
 		}
 	}
--- a/internal/lab/transports.go
+++ b/internal/lab/transports.go
@@ -51,8 +51,8 @@
 
 // blockSize is that of Block1, and szx its code.
 const (
-	blockSize = 128
-	szx       = 3
+	blockSize = 256
+	szx       = 4
 )
 
 // exchange sends a batch in one request or in blocks.
@@ -61,7 +61,7 @@
 	t.started = false
 	t.tag = binary.BigEndian.AppendUint64(nil, t.d.rand.Uint64())
 	last := 0
-	if len(payload) > 2*blockSize {
+	if len(payload) > blockSize {
 		last = (len(payload) - 1) / blockSize
 	}
 	for n := 0; n <= last; n++ {
