Move the PostgreSQL packages together, and name the simulator's wire for what it is

Need: a second protocol shall stand beside PostgreSQL's front and back. Change: internal/pgwire, frontend and backend are internal/postgres/wire, front and back; internal/wire is internal/simwire.

--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -8,14 +8,14 @@
 	"log/slog"
 
 	"lotusbend/decide"
-	"lotusbend/internal/backend"
 	"lotusbend/internal/clock"
 	"lotusbend/internal/config"
 	"lotusbend/internal/discovery"
 	"lotusbend/internal/edge"
-	"lotusbend/internal/frontend"
 	"lotusbend/internal/netio"
 	"lotusbend/internal/options"
+	"lotusbend/internal/postgres/back"
+	"lotusbend/internal/postgres/front"
 	"lotusbend/internal/router"
 )
 
@@ -38,8 +38,8 @@
 	budget  *netio.Budget
 	log     *slog.Logger
 	router  *router.Router
-	pool    *backend.Pool
-	server  *frontend.Server
+	pool    *back.Pool
+	server  *front.Server
 	edge    *edge.Edge     // nil where it is off
 	config  *config.Config // in force
 	watches []*watch       // under way, the newest last
@@ -53,10 +53,10 @@
 		return nil, err
 	}
 	n := &node{loop: loop, budget: budget, log: log, router: r, config: c}
-	n.pool = backend.New(loop, backend.Options{
+	n.pool = back.New(loop, back.Options{
 		ConnectTimeout: c.Settings.ConnectTimeout, IdleTimeout: c.Settings.ConnIdle,
 	}, budget, r)
-	if n.server, err = frontend.Listen(c.Listen, loop, budget, r); err != nil {
+	if n.server, err = front.Listen(c.Listen, loop, budget, r); err != nil {
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
 	if opt.Edge != nil {
--- a/cmd/lotusbend/story_test.go
+++ b/cmd/lotusbend/story_test.go
@@ -17,7 +17,7 @@
 	"lotusbend/internal/clock"
 	"lotusbend/internal/config"
 	"lotusbend/internal/options"
-	"lotusbend/internal/pgwire"
+	"lotusbend/internal/postgres/wire"
 )
 
 const start = 1767225600000 // of the settable clock
@@ -151,7 +151,7 @@
 
 // message reads one message; kind 0 is the end of the connection.
 func (p *peer) message() (kind byte, body string) {
-	h := make([]byte, pgwire.HeaderLen)
+	h := make([]byte, wire.HeaderLen)
 	if _, err := io.ReadFull(p.in, h); err != nil {
 		return 0, ""
 	}
@@ -171,13 +171,13 @@
 		if kind == 0 {
 			return kinds + " closed " + text
 		}
-		if kind == pgwire.DataRow || kind == pgwire.ErrorResponse {
+		if kind == wire.DataRow || kind == wire.ErrorResponse {
 			text += strings.ReplaceAll(body, "\x00", "|")
 		}
-		if kind != pgwire.ParameterStatus {
+		if kind != wire.ParameterStatus {
 			kinds += string(kind)
 		}
-		if kind == pgwire.ReadyForQuery {
+		if kind == wire.ReadyForQuery {
 			return kinds + " " + text
 		}
 	}
@@ -203,12 +203,12 @@
 // client connects a client up to its first ReadyForQuery.
 func (w *world) client() *peer {
 	p := w.dial()
-	p.write(pgwire.AppendStartup(nil, "app", "shop"))
+	p.write(wire.AppendStartup(nil, "app", "shop"))
 	p.want(p.answer(), "RKZ")
 	return p
 }
 
-func (p *peer) query(sql string) { p.write(pgwire.AppendQuery(nil, []byte(sql))) }
+func (p *peer) query(sql string) { p.write(wire.AppendQuery(nil, []byte(sql))) }
 
 const (
 	view  = `SELECT doc FROM items WHERE id = '7f3a' /* id=9b1f,c=view,d=1000,cluster=1 */`
@@ -231,14 +231,14 @@
 	if _, err := p.in.Discard(int(binary.BigEndian.Uint32(n)) - 4); err != nil {
 		t.Fatal(err)
 	}
-	p.write(pgwire.AppendReady(pgwire.AppendAuthenticationOk(nil)))
+	p.write(wire.AppendReady(wire.AppendAuthenticationOk(nil)))
 	return p
 }
 
 // serve answers the next statement, which it returns.
 func (p *peer) serve(value, role string) string {
 	kind, body := p.message()
-	if kind != pgwire.Query {
+	if kind != wire.Query {
 		p.t.Fatalf("a host got %q instead of a statement", kind)
 	}
 	p.write(row(body, value, role))
@@ -247,23 +247,23 @@
 
 // row is a host's whole answer to the statement.
 func row(statement, value, role string) []byte {
-	b := pgwire.AppendRowDescription(nil, pgwire.Column{Name: []byte("doc"), Type: 17, Size: -1, Binary: true})
-	b = pgwire.AppendDataRow(b, []byte(value))
+	b := wire.AppendRowDescription(nil, wire.Column{Name: []byte("doc"), Type: 17, Size: -1, Binary: true})
+	b = wire.AppendDataRow(b, []byte(value))
 	tag := "SELECT 1"
 	if strings.HasPrefix(statement, "INSERT") {
 		tag = "INSERT 0 1"
 	}
-	b = pgwire.AppendComplete(b, []byte(tag))
-	b = pgwire.AppendParameter(b, "recovery", role)
-	b = pgwire.AppendParameter(b, "lsn_ms", fmt.Sprint(start))
-	return pgwire.AppendReady(b)
+	b = wire.AppendComplete(b, []byte(tag))
+	b = wire.AppendParameter(b, "recovery", role)
+	b = wire.AppendParameter(b, "lsn_ms", fmt.Sprint(start))
+	return wire.AppendReady(b)
 }
 
 func (p *peer) refuse(code string) {
-	if kind, _ := p.message(); kind != pgwire.Query {
+	if kind, _ := p.message(); kind != wire.Query {
 		p.t.Fatalf("a host got %q instead of a statement", kind)
 	}
-	p.write(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", code, "no", "")))
+	p.write(wire.AppendReady(wire.AppendError(nil, "ERROR", code, "no", "")))
 }
 
 // One packet may hold startup and statement, or each comes byte by byte; id
@@ -271,7 +271,7 @@
 func TestStartupAndStatementComeInAnyPieces(t *testing.T) {
 	l := listen(t)
 	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
-	both := pgwire.AppendQuery(pgwire.AppendStartup(nil, "app", "shop"), []byte(write))
+	both := wire.AppendQuery(wire.AppendStartup(nil, "app", "shop"), []byte(write))
 	var h *peer
 	for _, size := range []int{len(both), 1} {
 		p := w.dial()
@@ -400,7 +400,7 @@
 	p := w.client()
 	p.query(view)
 	r := accept(t, replica)
-	r.refuse(pgwire.CodeTooFarBehind)
+	r.refuse(wire.CodeTooFarBehind)
 	h := accept(t, primary)
 	h.serve("fresh", "off")
 	p.want(p.answer(), "fresh")
@@ -480,7 +480,7 @@
 	l := listen(t)
 	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
 	p := w.client()
-	p.write(pgwire.AppendQuery(pgwire.AppendQuery(pgwire.AppendQuery(nil, []byte(write)), nil), []byte(write)))
+	p.write(wire.AppendQuery(wire.AppendQuery(wire.AppendQuery(nil, []byte(write)), nil), []byte(write)))
 	h := accept(t, l)
 	h.serve("one", "off")
 	p.want(p.answer(), "one")
@@ -629,7 +629,7 @@
 	// It has sent its first statement before it is heard: a reset would take
 	// the answer with it.
 	p := w.dial()
-	p.write(pgwire.AppendQuery(pgwire.AppendStartup(nil, "app", "shop"), []byte(write)))
+	p.write(wire.AppendQuery(wire.AppendStartup(nil, "app", "shop"), []byte(write)))
 	got := p.answer()
 	p.want(got, "53300")
 	p.want(got, "closed")
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,7 +10,7 @@
 
 	"lotusbend/decide"
 	"lotusbend/internal/settings"
-	"lotusbend/internal/wire"
+	"lotusbend/internal/simwire"
 )
 
 func main() {
@@ -28,7 +28,7 @@
 
 // host holds the instances by number and the lists that they share.
 type host struct {
-	reply     wire.Reply
+	reply     simwire.Reply
 	instances map[uint16]*instance
 	lists     map[uint32][]decide.Member
 }
@@ -36,7 +36,7 @@
 // serve answers batches until the input ends.
 func serve(in io.Reader, out io.Writer) error {
 	h := &host{instances: map[uint16]*instance{}, lists: map[uint32][]decide.Member{}}
-	frames := wire.NewReader(bufio.NewReaderSize(in, 1<<16))
+	frames := simwire.NewReader(bufio.NewReaderSize(in, 1<<16))
 	for {
 		batch, err := frames.Next()
 		if err == io.EOF {
@@ -46,7 +46,7 @@
 			return err
 		}
 		h.reply.Reset(batch.Seq)
-		if err := batch.Each(func(ev *wire.Event) error { return h.handle(batch, ev) }); err != nil {
+		if err := batch.Each(func(ev *simwire.Event) error { return h.handle(batch, ev) }); err != nil {
 			return err
 		}
 		if _, err := out.Write(h.reply.Bytes()); err != nil {
@@ -56,8 +56,8 @@
 }
 
 // handle passes one event to its instance. A panic of the decisions is
-// reported on the wire.
-func (h *host) handle(batch wire.Batch, ev *wire.Event) (err error) {
+// reported on the simwire.
+func (h *host) handle(batch simwire.Batch, ev *simwire.Event) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			h.reply.Exception(ev.Instance, fmt.Sprint(p))
@@ -65,37 +65,37 @@
 	}()
 	now := batch.Now
 	switch ev.Code {
-	case wire.EvRegister:
+	case simwire.EvRegister:
 		h.lists[ev.List] = ev.Members
 		return nil
-	case wire.EvConfigure:
+	case simwire.EvConfigure:
 		return h.configure(batch, ev)
 	}
 	in := h.instances[ev.Instance]
 	if in == nil {
-		return fmt.Errorf("%w: event %d for unknown instance %d", wire.ErrMalformed, ev.Code, ev.Instance)
+		return fmt.Errorf("%w: event %d for unknown instance %d", simwire.ErrMalformed, ev.Code, ev.Instance)
 	}
 	switch ev.Code {
-	case wire.EvLapsed:
+	case simwire.EvLapsed:
 		in.router.Lapsed(now, ev.Ticket)
-	case wire.EvFirst:
+	case simwire.EvFirst:
 		in.router.Streaming(now, ev.Ticket, ev.Attempt)
-	case wire.EvAttemptEnd:
+	case simwire.EvAttemptEnd:
 		ev.Result.Note = in.settings.Note(ev.Result.Note)
 		in.router.Ended(now, ev.Result)
-	case wire.EvElapsed:
+	case simwire.EvElapsed:
 		in.router.Timer(now, ev.Token)
-	case wire.EvFleet:
+	case simwire.EvFleet:
 		members, ok := h.lists[ev.List]
 		if !ok && ev.Kind != decide.ListFailed {
-			return fmt.Errorf("%w: list %d was never registered", wire.ErrMalformed, ev.List)
+			return fmt.Errorf("%w: list %d was never registered", simwire.ErrMalformed, ev.List)
 		}
 		in.router.Listed(now, ev.Kind, members)
-	case wire.EvDemand:
+	case simwire.EvDemand:
 		in.router.Arrived(now, ev.Request)
-	case wire.EvHalt:
+	case simwire.EvHalt:
 		delete(h.instances, ev.Instance)
-	case wire.EvPingResult:
+	case simwire.EvPingResult:
 		in.router.Probed(now, decide.ProbeResult{Member: ev.Probe.Member, Outcome: ev.Probe.Outcome,
 			Note: in.settings.Report(ev.Probe.Values)})
 	}
@@ -103,12 +103,12 @@
 }
 
 // configure starts an instance anew.
-func (h *host) configure(batch wire.Batch, ev *wire.Event) error {
+func (h *host) configure(batch simwire.Batch, ev *simwire.Event) error {
 	set, err := settings.Parse(ev.Settings)
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", ev.Instance, err)
 	}
-	actions := &wire.Sender{Reply: &h.reply, Instance: ev.Instance}
+	actions := &simwire.Sender{Reply: &h.reply, Instance: ev.Instance}
 	router, err := decide.New(set.Config, ev.Seed, actions)
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", ev.Instance, err)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -27,7 +27,7 @@
 	"lotusbend/internal/edge/intake"
 	"lotusbend/internal/netio"
 	edgeoptions "lotusbend/internal/options"
-	"lotusbend/internal/pgwire"
+	"lotusbend/internal/postgres/wire"
 	"lotusbend/internal/router"
 	"lotusbend/internal/slots"
 )
@@ -58,7 +58,7 @@
 	defer r.mu.Unlock()
 	text := string(q.Statement.Text)
 	r.texts = append(r.texts, text)
-	s, err := pgwire.ParseStatement(q.Statement.Text)
+	s, err := wire.ParseStatement(q.Statement.Text)
 	if err != nil || s.Cluster != q.Group || s.WaitAt != q.Statement.From || s.WaitTo != q.Statement.To || r.hold {
 		if !r.hold {
 			from.Answer(client, router.Answer{Verdict: router.Failed})
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"lotusbend/internal/edge/batch"
-	"lotusbend/internal/pgwire"
+	"lotusbend/internal/postgres/wire"
 	"lotusbend/internal/standin"
 )
 
@@ -124,7 +124,7 @@
 		return nil, err
 	}
 	in := bufio.NewReader(c)
-	if _, err := c.Write(pgwire.AppendStartup(nil, "app", "shop")); err != nil {
+	if _, err := c.Write(wire.AppendStartup(nil, "app", "shop")); err != nil {
 		return nil, err
 	}
 	if code, err := answer(c, in); err != nil || code != "" {
@@ -133,7 +133,7 @@
 	return func(n int) error {
 		text := fmt.Sprintf(`INSERT INTO items (id, doc) VALUES ('%016x', '\x%x') RETURNING doc /* id=%016x,c=ledger-write,d=1200,k=%016x,cluster=%d */`,
 			n+1, "12.5 kWh", n+1, n+1, 1+n%2)
-		if _, err := c.Write(pgwire.AppendQuery(nil, []byte(text))); err != nil {
+		if _, err := c.Write(wire.AppendQuery(nil, []byte(text))); err != nil {
 			return err
 		}
 		code, err := answer(c, in)
--- a/internal/lab/plain.go
+++ b/internal/lab/plain.go
@@ -13,7 +13,7 @@
 
 	"lotusbend/internal/edge/batch"
 	"lotusbend/internal/edge/frames"
-	"lotusbend/internal/pgwire"
+	"lotusbend/internal/postgres/wire"
 )
 
 // plain is the edge that a drill is compared with: it acknowledges on receipt
@@ -119,7 +119,7 @@
 					continue
 				}
 				in = bufio.NewReader(c)
-				_, _ = c.Write(pgwire.AppendStartup(nil, "app", "shop")) // the read tells
+				_, _ = c.Write(wire.AppendStartup(nil, "app", "shop")) // the read tells
 				if code, err := answer(c, in); err != nil || code != "" {
 					_ = c.Close()
 					c = nil
@@ -131,7 +131,7 @@
 			p.mu.Unlock()
 			text := fmt.Sprintf(`INSERT INTO items (id, doc) VALUES ('%016x', '\x%x') RETURNING doc /* id=%016x,c=ledger-write,d=1200,k=%016x,cluster=%d */`,
 				row, value, id, key, group)
-			_, _ = c.Write(pgwire.AppendQuery(nil, []byte(text)))
+			_, _ = c.Write(wire.AppendQuery(nil, []byte(text)))
 			code, err := answer(c, in)
 			if err != nil {
 				_ = c.Close()
@@ -149,11 +149,11 @@
 func answer(c net.Conn, in *bufio.Reader) (code string, err error) {
 	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	for {
-		head := make([]byte, pgwire.HeaderLen)
+		head := make([]byte, wire.HeaderLen)
 		if _, err := io.ReadFull(in, head); err != nil {
 			return code, err
 		}
-		kind, n, err := pgwire.Header(head)
+		kind, n, err := wire.Header(head)
 		if err != nil {
 			return code, err
 		}
@@ -162,11 +162,11 @@
 			return code, err
 		}
 		switch kind {
-		case pgwire.ErrorResponse:
-			if e, err := pgwire.ParseError(body); err == nil {
+		case wire.ErrorResponse:
+			if e, err := wire.ParseError(body); err == nil {
 				code = string(e.Code)
 			}
-		case pgwire.ReadyForQuery:
+		case wire.ReadyForQuery:
 			return code, nil
 		}
 	}
--- a/internal/backend/backend.go
+++ b/internal/postgres/back/back.go
@@ -1,6 +1,6 @@
-// Package backend holds the connections to database hosts: it opens, reuses
+// Package back holds the connections to database hosts: it opens, reuses
 // and closes them, sends attempts and probes, and tells how each ended.
-package backend
+package back
 
 import (
 	"slices"
@@ -12,7 +12,7 @@
 	"lotusbend/decide"
 	"lotusbend/internal/clock"
 	"lotusbend/internal/netio"
-	"lotusbend/internal/pgwire"
+	"lotusbend/internal/postgres/wire"
 	"lotusbend/internal/router"
 	"lotusbend/internal/slots"
 )
@@ -296,7 +296,7 @@
 		link.Close()
 		return
 	}
-	link.Send(pgwire.AppendStartup(nil, user, database), nil)
+	link.Send(wire.AppendStartup(nil, user, database), nil)
 }
 
 // openFailed ends a connection that never came up, and the job that has
@@ -344,12 +344,12 @@
 	}
 	var b []byte
 	if j.probe {
-		b = pgwire.AppendQuery(nil, []byte("SHOW health"))
+		b = wire.AppendQuery(nil, []byte("SHOW health"))
 	} else {
 		left := max(j.until-p.loop.Now(), 1)
 		s := j.stmt
 		wait := strconv.AppendInt(nil, int64(left), 10)
-		b = pgwire.AppendQuery(make([]byte, 0, len(s.Text)+32), s.Text[:s.From], wait, s.Text[s.To:])
+		b = wire.AppendQuery(make([]byte, 0, len(s.Text)+32), s.Text[:s.From], wait, s.Text[s.To:])
 	}
 	ref := j.ref
 	c.link.Send(b, func(err error) { p.loop.Do(func() { p.written(ref, c, err) }) })
--- a/internal/backend/backend_test.go
+++ b/internal/postgres/back/back_test.go
@@ -1,4 +1,4 @@
-package backend
+package back
 
 import (
 	"syscall"
--- a/internal/backend/reader.go
+++ b/internal/postgres/back/reader.go
@@ -1,4 +1,4 @@
-package backend
+package back
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"lotusbend/decide"
-	"lotusbend/internal/pgwire"
+	"lotusbend/internal/postgres/wire"
 	"lotusbend/internal/router"
 	"lotusbend/internal/settings"
 )
@@ -24,7 +24,7 @@
 
 // maxAnswer bounds the bytes of one answer, which stay in the read buffer
 // until it is whole.
-const maxAnswer = 2 * pgwire.MaxMessage
+const maxAnswer = 2 * wire.MaxMessage
 
 // maxControl bounds every message of an answer but the row.
 const maxControl = 8 << 10
@@ -45,7 +45,7 @@
 type reader struct {
 	size     int
 	stage    stage
-	column   pgwire.Column
+	column   wire.Column
 	row      router.Row
 	code     []byte // of an ErrorResponse
 	role     decide.Role
@@ -68,16 +68,16 @@
 		}
 		var h []byte
 		if err == nil {
-			h, err = in.Next(pgwire.HeaderLen)
+			h, err = in.Next(wire.HeaderLen)
 		}
 		if err == nil {
 			var kind byte
 			var n int
-			if kind, n, err = pgwire.Header(h); err == nil {
+			if kind, n, err = wire.Header(h); err == nil {
 				err = c.message(in, kind, n)
 			}
 		}
-		if errors.Is(err, pgwire.ErrMalformed) {
+		if errors.Is(err, wire.ErrMalformed) {
 			c.pool.loop.Do(func() { c.pool.spoilt(c) })
 		}
 		if err != nil {
@@ -88,22 +88,22 @@
 }
 
 var (
-	errTooLong = fmt.Errorf("%w: an answer without end", pgwire.ErrMalformed)
-	errOrder   = fmt.Errorf("%w: out of order", pgwire.ErrMalformed)
-	errExcess  = fmt.Errorf("%w: more than the answer", pgwire.ErrMalformed)
+	errTooLong = fmt.Errorf("%w: an answer without end", wire.ErrMalformed)
+	errOrder   = fmt.Errorf("%w: out of order", wire.ErrMalformed)
+	errExcess  = fmt.Errorf("%w: more than the answer", wire.ErrMalformed)
 )
 
 func (c *conn) message(in netpoll.Reader, kind byte, n int) error {
-	if kind != pgwire.DataRow && n > maxControl {
+	if kind != wire.DataRow && n > maxControl {
 		return errTooLong
 	}
-	if c.reader.size += n + pgwire.HeaderLen; c.reader.size > maxAnswer {
+	if c.reader.size += n + wire.HeaderLen; c.reader.size > maxAnswer {
 		return errTooLong
 	}
-	if kind == pgwire.DataRow { // one that lies about its length would wait for what never comes
-		head, err := in.Peek(min(n, pgwire.RowHeaderLen))
+	if kind == wire.DataRow { // one that lies about its length would wait for what never comes
+		head, err := in.Peek(min(n, wire.RowHeaderLen))
 		if err == nil {
-			err = pgwire.CheckDataRow(head, n)
+			err = wire.CheckDataRow(head, n)
 		}
 		if err != nil {
 			return err
@@ -116,10 +116,10 @@
 			return err
 		}
 	}
-	if kind != pgwire.ReadyForQuery {
+	if kind != wire.ReadyForQuery {
 		return c.reader.take(kind, body)
 	}
-	if err := pgwire.CheckReady(body); err != nil {
+	if err := wire.CheckReady(body); err != nil {
 		return err
 	}
 	var err error
@@ -134,38 +134,38 @@
 // take reads one message of an answer.
 func (r *reader) take(kind byte, body []byte) (err error) {
 	switch kind {
-	case pgwire.RowDescription:
-		r.column, err = pgwire.ParseRowDescription(body)
+	case wire.RowDescription:
+		r.column, err = wire.ParseRowDescription(body)
 		return errors.Join(err, r.step(begun, described))
-	case pgwire.DataRow:
-		r.row.Value, err = pgwire.ParseDataRow(body)
+	case wire.DataRow:
+		r.row.Value, err = wire.ParseDataRow(body)
 		return errors.Join(err, r.step(described, rowed))
-	case pgwire.CommandComplete:
-		r.row.Tag, err = pgwire.Text(body)
+	case wire.CommandComplete:
+		r.row.Tag, err = wire.Text(body)
 		return errors.Join(err, r.step(rowed, completed))
-	case pgwire.ErrorResponse:
+	case wire.ErrorResponse:
 		if r.stage >= completed {
 			return errOrder
 		}
 		r.stage = refused
-		var e pgwire.Error
-		e, err = pgwire.ParseError(body)
+		var e wire.Error
+		e, err = wire.ParseError(body)
 		r.code = e.Code
-	case pgwire.NoticeResponse:
-		_, err = pgwire.ParseError(body)
-	case pgwire.ParameterStatus:
+	case wire.NoticeResponse:
+		_, err = wire.ParseError(body)
+	case wire.ParameterStatus:
 		var name, value []byte
-		name, value, err = pgwire.Parameter(body)
+		name, value, err = wire.Parameter(body)
 		switch string(name) {
 		case paramRole:
 			r.role = role(value)
 		case paramPosition:
 			r.position = value
 		}
-	case pgwire.Authentication:
-		err = pgwire.CheckAuthentication(body)
+	case wire.Authentication:
+		err = wire.CheckAuthentication(body)
 		fallthrough
-	case pgwire.BackendKeyData: // of a connection that comes up
+	case wire.BackendKeyData: // of a connection that comes up
 		return errors.Join(err, r.step(begun, begun))
 	default:
 		return errOrder
@@ -193,7 +193,7 @@
 
 // startupOutcome is what became of a connection that ended before it was ready.
 func (r *reader) startupOutcome() decide.Outcome {
-	if string(r.code) == pgwire.CodeTooManyConnections {
+	if string(r.code) == wire.CodeTooManyConnections {
 		return decide.Full
 	}
 	return decide.ConnectFailed
@@ -229,7 +229,7 @@
 // statement with one row.
 func tagFits(tag, statement []byte) bool {
 	verb, count, _ := bytes.Cut(tag, []byte{' '})
-	if len(verb) == 0 || !bytes.EqualFold(verb, pgwire.Verb(statement)) {
+	if len(verb) == 0 || !bytes.EqualFold(verb, wire.Verb(statement)) {
 		return false
 	}
 	return string(count) == "1" || string(count) == "0 1"
@@ -238,11 +238,11 @@
 // outcome translates the code of a database host's error.
 func outcome(code string) decide.Outcome {
 	switch code {
-	case pgwire.CodeReadOnly, pgwire.CodeTooFarBehind:
+	case wire.CodeReadOnly, wire.CodeTooFarBehind:
 		return decide.Miss
-	case pgwire.CodeTooManyConnections:
+	case wire.CodeTooManyConnections:
 		return decide.Full
-	case pgwire.CodeSyntax, pgwire.CodeProtocol:
+	case wire.CodeSyntax, wire.CodeProtocol:
 		return decide.Rejected
 	}
 	return decide.Error
--- a/internal/backend/reader_test.go
+++ b/internal/postgres/back/reader_test.go
@@ -1,11 +1,11 @@
-package backend
+package back
 
 import (
 	"testing"
 	"time"
 
 	"lotusbend/decide"
-	"lotusbend/internal/pgwire"
+	"lotusbend/internal/postgres/wire"
 )
 
 // A position that is told too high lets a stale read through.
@@ -56,7 +56,7 @@
 		"42601": decide.Rejected, "08P01": decide.Rejected, "57014": decide.Error,
 	} {
 		var r reader
-		if err := r.take(pgwire.ErrorResponse, pgwire.AppendError(nil, "ERROR", code, "", "")[pgwire.HeaderLen:]); err != nil {
+		if err := r.take(wire.ErrorResponse, wire.AppendError(nil, "ERROR", code, "", "")[wire.HeaderLen:]); err != nil {
 			t.Fatal(err)
 		}
 		if rep, whole := r.report(&job{}); !whole || rep.Outcome != want {
--- a/internal/frontend/frontend.go
+++ b/internal/postgres/front/front.go
@@ -1,7 +1,7 @@
-// Package frontend serves clients that speak the PostgreSQL protocol. It
+// Package front serves clients that speak the PostgreSQL protocol. It
 // turns their statements into the router's neutral requests and the router's
 // answers into messages.
-package frontend
+package front
 
 import (
 	"bytes"
@@ -17,7 +17,7 @@
 
 	"lotusbend/internal/clock"
 	"lotusbend/internal/netio"
-	"lotusbend/internal/pgwire"
+	"lotusbend/internal/postgres/wire"
 	"lotusbend/internal/router"
 	"lotusbend/internal/slots"
 )
@@ -135,10 +135,10 @@
 	s.loop.Do(func() {
 		switch {
 		case s.closing:
-			c.turnAway(pgwire.CodeCannotConnectNow, "the router is stopping")
+			c.turnAway(wire.CodeCannotConnectNow, "the router is stopping")
 			return
 		case !s.budget.TakeClient() && !(s.makeRoom() && s.budget.TakeClient()):
-			c.turnAway(pgwire.CodeTooManyConnections, "too many clients")
+			c.turnAway(wire.CodeTooManyConnections, "too many clients")
 			return
 		}
 		c.ref = s.clients.Add(c)
@@ -215,7 +215,7 @@
 	case c.busy, c.sending: // only a part of what comes next is there
 		c.checkAt(now + quietLimit)
 	case c.half:
-		c.link.Send(pgwire.AppendError(nil, "FATAL", pgwire.CodeProtocol, "a message without its end", ""), nil)
+		c.link.Send(wire.AppendError(nil, "FATAL", wire.CodeProtocol, "a message without its end", ""), nil)
 		c.server.finish(c)
 	case !c.asked:
 		c.server.finish(c)
@@ -256,7 +256,7 @@
 // turnAway marks a connection that gets no slot.
 func (c *client) turnAway(code, message string) {
 	c.ended, c.leaving = true, true
-	c.goodbye = pgwire.AppendError(nil, "FATAL", code, message, "")
+	c.goodbye = wire.AppendError(nil, "FATAL", code, message, "")
 	c.server.leaving++
 }
 
@@ -345,7 +345,7 @@
 }
 
 // errBye ends a connection without a fault.
-var errBye = errors.New("frontend: the client says goodbye")
+var errBye = errors.New("front: the client says goodbye")
 
 // readStartup reads one message of those that come before any other.
 func (c *client) readStartup(in netpoll.Reader) error {
@@ -353,7 +353,7 @@
 	if err != nil {
 		return err
 	}
-	n, err := pgwire.StartupLen(head)
+	n, err := wire.StartupLen(head)
 	if err != nil {
 		return err
 	}
@@ -361,25 +361,25 @@
 	if err != nil {
 		return err
 	}
-	switch code := pgwire.StartupCode(body); {
-	case code == pgwire.SSLRequest, code == pgwire.GSSRequest:
+	switch code := wire.StartupCode(body); {
+	case code == wire.SSLRequest, code == wire.GSSRequest:
 		c.link.Send([]byte{'N'}, nil)
 		return nil
-	case code == pgwire.CancelRequest:
+	case code == wire.CancelRequest:
 		return errBye // a deadline does the same, sooner
-	case code>>16 != pgwire.Version3>>16:
-		c.link.Send(pgwire.AppendError(nil, "FATAL", pgwire.CodeUnsupported, "unsupported protocol version", ""), nil)
+	case code>>16 != wire.Version3>>16:
+		c.link.Send(wire.AppendError(nil, "FATAL", wire.CodeUnsupported, "unsupported protocol version", ""), nil)
 		return errBye
 	}
 	c.greeted = true
-	b := pgwire.AppendAuthenticationOk(nil)
+	b := wire.AppendAuthenticationOk(nil)
 	for _, p := range [...][2]string{
 		{"server_version", "15.0"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
 		{"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"},
 	} {
-		b = pgwire.AppendParameter(b, p[0], p[1])
+		b = wire.AppendParameter(b, p[0], p[1])
 	}
-	b = pgwire.AppendReady(pgwire.AppendKeyData(b, c.ref.Slot, c.ref.Gen))
+	b = wire.AppendReady(wire.AppendKeyData(b, c.ref.Slot, c.ref.Gen))
 	c.link.Send(b, nil)
 	return nil
 }
@@ -387,13 +387,13 @@
 // readMessage reads one message of a connection that is up. One that must
 // wait for the answers before it is copied; so is a statement.
 func (c *client) readMessage(in netpoll.Reader) error {
-	h, err := c.take(in, pgwire.HeaderLen)
+	h, err := c.take(in, wire.HeaderLen)
 	if err != nil {
 		return err
 	}
-	kind, n, err := pgwire.Header(h)
+	kind, n, err := wire.Header(h)
 	if err != nil {
-		c.link.Send(pgwire.AppendError(nil, "FATAL", pgwire.CodeProtocol, err.Error(), ""), nil)
+		c.link.Send(wire.AppendError(nil, "FATAL", wire.CodeProtocol, err.Error(), ""), nil)
 		return err
 	}
 	var body []byte
@@ -402,7 +402,7 @@
 			return err
 		}
 	}
-	if kind == pgwire.Terminate {
+	if kind == wire.Terminate {
 		return errBye
 	}
 	now := c.server.loop.Now
@@ -416,7 +416,7 @@
 			return
 		}
 		if c.size += max(len(body), minAhead); c.size > maxAhead && len(c.ahead) > 0 {
-			err = errors.New("frontend: too much sent ahead")
+			err = errors.New("front: too much sent ahead")
 			return
 		}
 		c.ahead = append(c.ahead, message{kind, append([]byte(nil), body...), now()})
@@ -427,25 +427,25 @@
 // handle answers a message or hands its statement on. It runs inside Do.
 func (c *client) handle(m message) {
 	switch kind := m.kind; {
-	case kind == pgwire.Sync:
+	case kind == wire.Sync:
 		c.skipping = false
-		c.link.Send(pgwire.AppendReady(nil), nil)
+		c.link.Send(wire.AppendReady(nil), nil)
 		return
-	case c.skipping, kind == pgwire.Flush:
+	case c.skipping, kind == wire.Flush:
 		return
-	case kind != pgwire.Query:
+	case kind != wire.Query:
 		// The extended protocol: skip to its Sync, as PostgreSQL does.
 		c.skipping = true
-		c.link.Send(pgwire.AppendError(nil, "ERROR", pgwire.CodeUnsupported, "only simple queries are served", ""), nil)
+		c.link.Send(wire.AppendError(nil, "ERROR", wire.CodeUnsupported, "only simple queries are served", ""), nil)
 		return
 	}
-	text, err := pgwire.Text(m.body)
+	text, err := wire.Text(m.body)
 	if err != nil {
-		c.reject(pgwire.CodeProtocol, err.Error())
+		c.reject(wire.CodeProtocol, err.Error())
 		return
 	}
 	if empty(text) {
-		c.link.Send(pgwire.AppendReady(pgwire.AppendEmptyQuery(nil)), nil)
+		c.link.Send(wire.AppendReady(wire.AppendEmptyQuery(nil)), nil)
 		return
 	}
 	c.submit(append([]byte(nil), text...), m.at) // it must outlive the read buffer
@@ -466,27 +466,27 @@
 		c.asked = true
 		c.server.asked++
 	}
-	s, err := pgwire.ParseStatement(text)
+	s, err := wire.ParseStatement(text)
 	if err != nil {
-		c.reject(pgwire.CodeSyntax, err.Error())
+		c.reject(wire.CodeSyntax, err.Error())
 		return
 	}
 	class, ok := c.server.requests.Class(s.Class)
 	if !ok {
-		c.reject(pgwire.CodeSyntax, "unknown class "+strconv.Quote(string(s.Class)))
+		c.reject(wire.CodeSyntax, "unknown class "+strconv.Quote(string(s.Class)))
 		return
 	}
-	if read := bytes.EqualFold(pgwire.Verb(text), []byte("SELECT")); read == class.Write {
-		c.reject(pgwire.CodeSyntax, "the statement is not of its class "+strconv.Quote(string(s.Class)))
+	if read := bytes.EqualFold(wire.Verb(text), []byte("SELECT")); read == class.Write {
+		c.reject(wire.CodeSyntax, "the statement is not of its class "+strconv.Quote(string(s.Class)))
 		return
 	}
 	if class.Keyed && !s.Keyed {
-		c.reject(pgwire.CodeSyntax, "a statement without its idempotency key")
+		c.reject(wire.CodeSyntax, "a statement without its idempotency key")
 		return
 	}
 	// An answer could not be told from that to the other's, here or at a host.
 	if _, taken := c.server.open[string(s.ID)]; taken {
-		c.reject(pgwire.CodeSyntax, "the id of another request that is under way")
+		c.reject(wire.CodeSyntax, "the id of another request that is under way")
 		return
 	}
 	c.id = string(s.ID)
@@ -513,7 +513,7 @@
 
 // reject answers a statement that goes to no host.
 func (c *client) reject(code, message string) {
-	c.link.Send(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", code, message, "")), nil)
+	c.link.Send(wire.AppendReady(wire.AppendError(nil, "ERROR", code, message, "")), nil)
 }
 
 // Answer implements router.Client.
@@ -528,7 +528,7 @@
 	// What came ahead waits until this is with the system: a client that does
 	// not read may hold one answer in memory, not many.
 	c.sending = true
-	c.link.Send(pgwire.AppendReady(appendAnswer(nil, a)), func(error) { s.loop.Do(c.sent) })
+	c.link.Send(wire.AppendReady(appendAnswer(nil, a)), func(error) { s.loop.Do(c.sent) })
 	c.leave = s.loop.At(s.loop.Now()+writeTimeout, c.link.Close)
 }
 
@@ -558,19 +558,19 @@
 func appendAnswer(b []byte, a router.Answer) []byte {
 	switch a.Verdict {
 	case router.Served:
-		b = pgwire.AppendRowDescription(b, pgwire.Column{
+		b = wire.AppendRowDescription(b, wire.Column{
 			Name: a.Row.Column, Type: a.Row.Type, Size: a.Row.Size, Binary: a.Row.Binary,
 		})
-		b = pgwire.AppendDataRow(b, a.Row.Value)
-		return pgwire.AppendComplete(b, a.Row.Tag)
+		b = wire.AppendDataRow(b, a.Row.Value)
+		return wire.AppendComplete(b, a.Row.Tag)
 	case router.Refused:
 		detail := ""
 		if a.RetryAfter > 0 {
 			detail = strconv.Itoa(int(math.Floor(a.RetryAfter)))
 		}
-		return pgwire.AppendError(b, "ERROR", pgwire.CodeTooManyConnections, "refused: try again later", detail)
+		return wire.AppendError(b, "ERROR", wire.CodeTooManyConnections, "refused: try again later", detail)
 	}
-	return pgwire.AppendError(b, "ERROR", pgwire.CodeCancelled, "the request failed; it may have had an effect", "")
+	return wire.AppendError(b, "ERROR", wire.CodeCancelled, "the request failed; it may have had an effect", "")
 }
 
 // Drain lets clients go between their requests, from now on: those that are
--- a/internal/frontend/frontend_test.go
+++ b/internal/postgres/front/front_test.go
@@ -1,4 +1,4 @@
-package frontend
+package front
 
 import (
 	"io"
@@ -9,7 +9,7 @@
 
 	"lotusbend/internal/clock"
 	"lotusbend/internal/netio"
-	"lotusbend/internal/pgwire"
+	"lotusbend/internal/postgres/wire"
 	"lotusbend/internal/router"
 	"lotusbend/internal/slots"
 )
@@ -31,8 +31,8 @@
 		t.Fatal(err)
 	}
 	go func() { _ = s.Serve() }()
-	startup := string(pgwire.AppendStartup(nil, "app", "shop"))
-	asked := startup + string(pgwire.AppendQuery(nil, []byte("SELECT 1")))
+	startup := string(wire.AppendStartup(nil, "app", "shop"))
+	asked := startup + string(wire.AppendQuery(nil, []byte("SELECT 1")))
 	for _, text := range []string{startup[:9], startup + "Q\x00", asked + "Q\x00\x00\x00\x40SELECT"} {
 		c, err := net.Dial("tcp", s.Address())
 		if err != nil {
--- a/internal/pgwire/statement.go
+++ b/internal/postgres/wire/statement.go
@@ -1,4 +1,4 @@
-package pgwire
+package wire
 
 import (
 	"bytes"
--- a/internal/pgwire/pgwire.go
+++ b/internal/postgres/wire/wire.go
@@ -1,6 +1,6 @@
-// Package pgwire reads and writes messages of version 3 of the PostgreSQL
+// Package wire reads and writes messages of version 3 of the PostgreSQL
 // protocol. It handles bytes only; what it returns are slices of its input.
-package pgwire
+package wire
 
 import (
 	"bytes"
--- a/internal/wire/frame.go
+++ b/internal/simwire/frame.go
@@ -1,6 +1,6 @@
-// Package wire translates between the simulator's binary frames and the
+// Package simwire translates between the simulator's binary frames and the
 // types of package decide. It holds no decision.
-package wire
+package simwire
 
 import (
 	"encoding/binary"
--- a/internal/wire/wire_test.go
+++ b/internal/simwire/wire_test.go
@@ -1,4 +1,4 @@
-package wire
+package simwire
 
 import (
 	"bytes"
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"sync"
 
-	"lotusbend/internal/pgwire"
+	"lotusbend/internal/postgres/wire"
 )
 
 // Host is one database host on a socket of its own.
@@ -128,7 +128,7 @@
 	if _, err := io.ReadFull(in, head); err != nil {
 		return
 	}
-	n, err := pgwire.StartupLen(head)
+	n, err := wire.StartupLen(head)
 	if err != nil {
 		return
 	}
@@ -136,27 +136,27 @@
 		return
 	}
 	h.awake()
-	b := pgwire.AppendReady(pgwire.AppendKeyData(pgwire.AppendAuthenticationOk(nil), 1, 1))
+	b := wire.AppendReady(wire.AppendKeyData(wire.AppendAuthenticationOk(nil), 1, 1))
 	if _, err := c.Write(b); err != nil {
 		return
 	}
 	for {
-		head := make([]byte, pgwire.HeaderLen)
+		head := make([]byte, wire.HeaderLen)
 		if _, err := io.ReadFull(in, head); err != nil {
 			return
 		}
-		kind, n, err := pgwire.Header(head)
-		if err != nil || kind == pgwire.Terminate {
+		kind, n, err := wire.Header(head)
+		if err != nil || kind == wire.Terminate {
 			return
 		}
 		body := make([]byte, n)
 		if _, err := io.ReadFull(in, body); err != nil {
 			return
 		}
-		if kind != pgwire.Query {
+		if kind != wire.Query {
 			continue
 		}
-		text, err := pgwire.Text(body)
+		text, err := wire.Text(body)
 		if err != nil {
 			return
 		}
@@ -204,7 +204,7 @@
 	case sel != nil:
 		comment = sel[2]
 	default:
-		return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocol, "not a statement of this form", "")), false
+		return wire.AppendReady(wire.AppendError(nil, "ERROR", wire.CodeProtocol, "not a statement of this form", "")), false
 	}
 	for _, p := range paramForm.FindAllStringSubmatch(comment, -1) {
 		params[p[1]] = p[2]
@@ -221,7 +221,7 @@
 		if !full {
 			h.left()
 		}
-		return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeTooManyConnections, "queue full", "")), false
+		return wire.AppendReady(wire.AppendError(nil, "ERROR", wire.CodeTooManyConnections, "queue full", "")), false
 	}
 	defer h.left()
 	h.awake()
@@ -249,8 +249,8 @@
 	}
 	g.mu.Unlock()
 	if r.code != "" {
-		b := pgwire.AppendParameter(nil, "recovery", recovery)
-		return pgwire.AppendReady(append(b, pgwire.AppendError(nil, "ERROR", r.code, "not here", "")...)), false
+		b := wire.AppendParameter(nil, "recovery", recovery)
+		return wire.AppendReady(append(b, wire.AppendError(nil, "ERROR", r.code, "not here", "")...)), false
 	}
 	return row(r.doc, verb, recovery, r.lsn), false
 }
@@ -267,11 +267,11 @@
 	if verb == "INSERT" {
 		tag = "INSERT 0 1"
 	}
-	b := pgwire.AppendRowDescription(nil, pgwire.Column{Name: []byte("doc"), Type: 17, Size: -1, Binary: true})
-	b = pgwire.AppendComplete(pgwire.AppendDataRow(b, doc), []byte(tag))
+	b := wire.AppendRowDescription(nil, wire.Column{Name: []byte("doc"), Type: 17, Size: -1, Binary: true})
+	b = wire.AppendComplete(wire.AppendDataRow(b, doc), []byte(tag))
 	if recovery != "" {
-		b = pgwire.AppendParameter(b, "recovery", recovery)
-		b = pgwire.AppendParameter(b, "lsn_ms", strconv.FormatInt(int64(lsn), 10))
+		b = wire.AppendParameter(b, "recovery", recovery)
+		b = wire.AppendParameter(b, "lsn_ms", strconv.FormatInt(int64(lsn), 10))
 	}
-	return pgwire.AppendReady(b)
+	return wire.AppendReady(b)
 }
