--- a/internal/pooling/effect.go
+++ b/internal/pooling/effect.go
@@ -63,6 +63,7 @@
 	Kind   Kind
 	Name   string
 	Value  string // of Set and SetLocal, as it may stand behind the name again
+	Text   string // of Prepare, so that it can be said again
 	Pins   Pin
 	Unpins Pin  // reasons that end with it
 	Schema bool // it changes what statements mean: plans of others are old now
@@ -86,7 +87,10 @@
 	}
 	out := make([]Effect, len(statements))
 	for i, s := range statements {
-		out[i] = r.statement(s)
+		out[i] = r.statement(s.tokens)
+		if out[i].Kind == Prepare {
+			out[i].Text = s.text
+		}
 	}
 	return out
 }
@@ -164,18 +168,18 @@
 		return unknown
 	case c.take("prepare"):
 		e := r.body(c)
-		e.Kind, e.Name = Prepare, c.takeName()
+		e.Kind, e.Name = Prepare, Truncate(c.takeName())
 		return e
 	case c.take("execute"):
 		e := r.body(c) // what it executes was read when it was prepared
-		e.Kind, e.Name = Execute, c.takeName()
+		e.Kind, e.Name = Execute, Truncate(c.takeName())
 		return e
 	case c.take("deallocate"):
 		_ = c.take("prepare")
 		if c.take("all") {
 			return Effect{Kind: DeallocateAll}
 		}
-		return Effect{Kind: Deallocate, Name: c.takeName()}
+		return Effect{Kind: Deallocate, Name: Truncate(c.takeName())}
 	case c.take("listen"):
 		return Effect{Pins: PinListen}
 	case c.take("unlisten"):
--- a/internal/pooling/scan.go
+++ b/internal/pooling/scan.go
@@ -198,11 +198,22 @@
 	return token{text, c.s[i+1 : i+1+end], from}, true, nil
 }
 
-// split reads a query string into its statements, each a list of tokens. An
-// empty one is left out.
-func split(sql string, standard bool) (statements [][]token, err error) {
+// statement is one of a query string.
+type statement struct {
+	tokens []token
+	text   string // without its semicolon
+}
+
+// split reads a query string into its statements. An empty one is left out.
+func split(sql string, standard bool) (statements []statement, err error) {
 	c := &scanner{s: sql, standard: standard}
 	var now []token
+	add := func(end int) {
+		if len(now) > 0 {
+			statements = append(statements, statement{now, sql[now[0].at:end]})
+		}
+		now = nil
+	}
 	depth := 0 // of BEGIN ATOMIC bodies: the semicolons in one belong to it
 	for {
 		t, ok, err := c.next()
@@ -214,10 +225,7 @@
 		}
 		switch {
 		case t.kind == symbol && t.s == ";" && depth == 0:
-			if len(now) > 0 {
-				statements = append(statements, now)
-			}
-			now = nil
+			add(t.at)
 			continue
 		case t.is("atomic") && len(now) > 0 && now[len(now)-1].is("begin"):
 			depth++
@@ -228,9 +236,7 @@
 		}
 		now = append(now, t)
 	}
-	if len(now) > 0 {
-		statements = append(statements, now)
-	}
+	add(len(sql))
 	return statements, nil
 }
 
