--- a/internal/pooling/settings_test.go
+++ b/internal/pooling/settings_test.go
@@ -172,6 +172,10 @@
 	want("'4MB'")
 	run("commit")
 	want("'2MB'")
+	run("begin; set local work_mem to '6MB'; savepoint t; set work_mem to '7MB'; release t")
+	want("'7MB'") // what is set for the session covers what was set for the transaction
+	run("rollback")
+	want("'2MB'")
 	run("begin; set work_mem to '5MB'")
 	s.Error()
 	run("commit") // of a failed transaction
