--- /dev/null
+++ b/internal/pooling/pipeline_test.go
@@ -0,0 +1,282 @@
+package pooling
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// backend is a small server of the extended protocol, by PostgreSQL's rules: a
+// message fails by its statement's text.
+type backend struct {
+	statements map[string]string
+	portals    map[string]string
+	skipping   bool
+}
+
+func newBackend() *backend {
+	return &backend{statements: map[string]string{}, portals: map[string]string{}}
+}
+
+// wireMessage is what a server gets.
+type wireMessage struct {
+	kind            byte
+	statement, text string
+	portal          string
+	isPortal        bool
+}
+
+// take runs a message and returns its answers, each a kind and what it says.
+func (b *backend) take(m wireMessage) []string {
+	if m.kind == 'S' {
+		b.skipping = false
+		clear(b.portals)
+		return []string{"Z"}
+	}
+	if b.skipping || m.kind == 'H' {
+		return nil
+	}
+	fail := func(why string) []string {
+		b.skipping = true
+		return []string{"E:" + why}
+	}
+	switch m.kind {
+	case 'P':
+		if m.statement == "" {
+			delete(b.statements, "")
+		} else if _, ok := b.statements[m.statement]; ok {
+			return fail("42P05")
+		}
+		if strings.Contains(m.text, "syntax") {
+			return fail("42601")
+		}
+		b.statements[m.statement] = m.text
+		return []string{"1"}
+	case 'B':
+		text, ok := b.statements[m.statement]
+		if !ok {
+			return fail("26000")
+		}
+		if strings.Contains(text, "nobind") {
+			return fail("22P02")
+		}
+		b.portals[m.portal] = text
+		return []string{"2"}
+	case 'D':
+		text, ok := b.statements[m.statement]
+		if m.isPortal {
+			if text, ok = b.portals[m.portal]; !ok {
+				return fail("34000")
+			}
+			return []string{"T:" + text}
+		}
+		if !ok {
+			return fail("26000")
+		}
+		return []string{"t:" + text, "n"}
+	case 'E':
+		text, ok := b.portals[m.portal]
+		if !ok {
+			return fail("34000")
+		}
+		if strings.Contains(text, "noexec") {
+			return []string{"D:" + text, fail("23505")[0]}
+		}
+		return []string{"D:" + text, "C:" + text}
+	case 'C':
+		if m.isPortal {
+			delete(b.portals, m.portal)
+		} else {
+			delete(b.statements, m.statement)
+		}
+		return []string{"3"}
+	}
+	return nil
+}
+
+// Several clients' pipelines over one connection, message for message: each
+// hears what it would hear on a connection of its own.
+func TestPipelinesLookLikePrivateConnections(t *testing.T) {
+	texts := []string{"select 1", "select 2", "select 3", "a syntax error", "nobind 1", "noexec 1"}
+	rapid.Check(t, func(t *rapid.T) {
+		var cat Catalog
+		held := &Held{Most: rapid.IntRange(1, 4).Draw(t, "most")}
+		shared := newBackend()
+		type client struct {
+			names   *Names
+			private *backend
+		}
+		clients := make([]client, rapid.IntRange(1, 3).Draw(t, "clients"))
+		for i := range clients {
+			clients[i] = client{&Names{}, newBackend()}
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "turns") {
+			c := rapid.SampledFrom(clients).Draw(t, "client")
+			if rapid.IntRange(0, 6).Draw(t, "ddl") == 0 {
+				cat.Changed()
+			}
+			p := NewPipeline(&cat, c.names, held)
+			var want, got []string
+			var onTheWay []wireMessage
+			deliver := func(n int) {
+				for ; n > 0 && len(onTheWay) > 0; n-- {
+					for _, reply := range shared.take(onTheWay[0]) {
+						r, ok := p.Server(reply[0])
+						if !ok {
+							t.Fatalf("%q answers nothing", reply)
+						}
+						if r.Pass {
+							got = append(got, reply)
+						}
+						for _, own := range r.Also {
+							got = append(got, string(own))
+						}
+					}
+					onTheWay = onTheWay[1:]
+				}
+			}
+			steps := rapid.IntRange(1, 12).Draw(t, "messages")
+			for n := range steps {
+				m := &Message{Kind: rapid.SampledFrom([]byte("PPBBEEDCSH")).Draw(t, "kind")}
+				if n == steps-1 {
+					m.Kind = 'S' // a turn ends with it
+				}
+				m.Statement = rapid.SampledFrom([]string{"", "s", "t"}).Draw(t, "statement")
+				m.Portal = rapid.Bool().Draw(t, "portal")
+				m.Text = rapid.SampledFrom(texts).Draw(t, "text")
+				for !p.Ready() {
+					deliver(1)
+				}
+				w := wireMessage{m.Kind, m.Statement, m.Text, "", m.Portal}
+				want = append(want, c.private.take(w)...)
+				send, now := p.Client(m)
+				for _, s := range send {
+					x := wireMessage{kind: s.Kind, statement: s.Name, text: s.Text, isPortal: m.Portal && s.Message != nil}
+					if s.Message != nil {
+						x.text = s.Message.Text
+					}
+					onTheWay = append(onTheWay, x)
+				}
+				for _, own := range now {
+					got = append(got, string(own))
+				}
+				deliver(rapid.IntRange(0, 3).Draw(t, "delivered"))
+			}
+			deliver(len(onTheWay))
+			if !slices.Equal(got, want) {
+				t.Fatalf("the client heard %q, alone it would hear %q", got, want)
+			}
+			if !p.Idle() {
+				t.Fatalf("%d messages wait for ever", len(p.queue))
+			}
+			for name, text := range c.private.statements {
+				if st, err := c.names.Get(name); err != nil || st.Text != text {
+					t.Fatalf("%q is %v, want %q", name, st, text)
+				}
+			}
+			if len(c.names.names) != len(c.private.statements) {
+				t.Fatalf("%d names, want %d", len(c.names.names), len(c.private.statements))
+			}
+			if len(shared.statements) != held.Len() {
+				t.Fatalf("the server has %d statements, %d are booked", len(shared.statements), held.Len())
+			}
+		}
+	})
+}
+
+// A pipeline of 100 Executes whose 50th fails: 49 are answered, then the error,
+// then nothing but the Sync's own answer.
+func TestAPipelineWhoseFiftiethFails(t *testing.T) {
+	var cat Catalog
+	p := NewPipeline(&cat, &Names{}, &Held{})
+	b := newBackend()
+	counts := map[byte]int{}
+	var sends []Sent
+	for i := range 100 {
+		text := fmt.Sprint("select ", i)
+		if i == 49 {
+			text = "noexec"
+		}
+		for _, m := range []*Message{{Kind: 'P', Text: text}, {Kind: 'B'}, {Kind: 'E'}} {
+			s, _ := p.Client(m)
+			sends = append(sends, s...)
+		}
+	}
+	s, _ := p.Client(&Message{Kind: 'S'})
+	for _, s := range append(sends, s...) {
+		for _, reply := range b.take(wireMessage{kind: s.Kind, statement: s.Name, text: s.Message.Text}) {
+			if r, ok := p.Server(reply[0]); !ok || !r.Pass {
+				t.Fatalf("%q: %+v %t", reply, r, ok)
+			}
+			counts[reply[0]]++
+		}
+	}
+	if counts['C'] != 49 || counts['E'] != 1 || counts['Z'] != 1 || !p.Idle() {
+		t.Errorf("%v", counts)
+	}
+}
+
+func TestAnAnswerThatFitsNothingEndsTheConnection(t *testing.T) {
+	var cat Catalog
+	for _, c := range []struct{ sent, came byte }{{'B', '1'}, {'E', 'Z'}, {'S', 'C'}, {'D', '2'}} {
+		p := NewPipeline(&cat, &Names{}, &Held{})
+		p.Client(&Message{Kind: c.sent, Portal: true})
+		if _, ok := p.Server(c.came); ok {
+			t.Errorf("%c was answered by %c", c.sent, c.came)
+		}
+	}
+	if _, ok := NewPipeline(&cat, &Names{}, &Held{}).Server('Z'); ok {
+		t.Error("an answer to nothing was taken")
+	}
+}
+
+// Messages behind a Sync wait where an error before it would take back what
+// they rest on: here a Close that the server passed over.
+func TestWhatComesBehindAnUncertainSyncWaits(t *testing.T) {
+	var cat Catalog
+	p := NewPipeline(&cat, &Names{}, &Held{Most: 1})
+	b := newBackend()
+	var heard []string
+	var onTheWay []Sent
+	deliver := func() {
+		for _, s := range onTheWay {
+			text := s.Text
+			if s.Message != nil {
+				text = s.Message.Text
+			}
+			for _, reply := range b.take(wireMessage{kind: s.Kind, statement: s.Name, text: text}) {
+				r, ok := p.Server(reply[0])
+				if !ok {
+					t.Fatalf("%q answers nothing", reply)
+				}
+				if r.Pass {
+					heard = append(heard, reply)
+				}
+				for _, own := range r.Also {
+					heard = append(heard, string(own))
+				}
+			}
+		}
+		onTheWay = nil
+	}
+	waited := 0
+	for _, m := range []*Message{{Kind: 'P', Text: "select 1"}, {Kind: 'P', Statement: "s", Text: "select 1"}, {Kind: 'P', Statement: "s", Text: "select 1"},
+		{Kind: 'P', Text: "select 2"}, {Kind: 'S'}, {Kind: 'P', Text: "select 1"}, {Kind: 'S'}} {
+		if !p.Ready() {
+			waited++
+			deliver()
+		}
+		send, now := p.Client(m)
+		onTheWay = append(onTheWay, send...)
+		for _, own := range now {
+			heard = append(heard, string(own))
+		}
+	}
+	deliver()
+	if got := strings.Join(heard, " "); got != "1 1 E:42P05 Z 1 Z" || waited != 1 {
+		t.Errorf("heard %q, waited %d times", got, waited)
+	}
+}
--- a/internal/pooling/prepared.go
+++ b/internal/pooling/prepared.go
@@ -15,6 +15,9 @@
 	ErrTooMany   = errors.New("53400: too many prepared statements")
 )
 
+// serverPrefix begins the names that statements have on servers.
+const serverPrefix = "lb_"
+
 // Prepared is one text with its parameter types, shared by all clients that
 // prepared it.
 type Prepared struct {
@@ -53,7 +56,7 @@
 	h.Sum(key[:0])
 	p := c.all[key]
 	if p == nil {
-		p = &Prepared{Text: text, Types: append([]uint32(nil), types...), ServerName: "lb_" + hex.EncodeToString(key[:16]), key: key}
+		p = &Prepared{Text: text, Types: append([]uint32(nil), types...), ServerName: serverPrefix + hex.EncodeToString(key[:16]), key: key}
 		if c.all == nil {
 			c.all = map[[32]byte]*Prepared{}
 		}
@@ -172,6 +175,21 @@
 	}
 }
 
+// Restore notes that the connection still has a statement whose Close was
+// passed over. It counts as old, so that it is closed before it is used.
+func (h *Held) Restore(name string) {
+	if h.have[name] != nil {
+		return
+	}
+	if h.have == nil {
+		h.have = map[string]*list.Element{}
+	}
+	h.have[name] = h.order.PushFront(&held{name, old})
+}
+
+// old is a generation that never is.
+const old = ^uint64(0)
+
 // Clear notes that the connection has none: DEALLOCATE ALL or DISCARD ALL.
 func (h *Held) Clear() {
 	h.order.Init()
