Let requests pay for first probes where answers tell as much

Every router probes every member at its start, and one that answers a probe with an error each 100 ms again (lookAt, awaitsProbe); 56 routers that restart at once do so in the same moment. Change: where replicas check and answers carry role and position, a first try earns 0.02 of a probe, and neither fresh reads nor the gate wait for it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,6 +37,7 @@
 	retryShare   = 0.1                    // tokens of the retry budget that a first try earns
 	brokenCost   = 0.2                    // of a repeat after a break or spoilt answer that stands alone
 	retryBurst   = 1.0                    // most that are saved, as many routers' savings are spent together
+	probeShare   = 0.02                   // probes that a first try earns: little beside its own work
 	spillCut     = 0.9                    // by which late answers of primaries cut the share of reads there
 	spillGain    = 0.05                   // and others raise it: in balance a third are late
 	admitCut     = 0.8                    // by which a full answer lowers the share of reads let in, ...
@@ -128,8 +129,8 @@
 	groups                 map[int]*group
 	gorder                 []*group
 	requests               map[uint64]*request
-	head                   request // of the ring of requests, oldest first
-	budget                 float64
+	head                   request         // of the ring of requests, oldest first
+	budget, probeBudget    float64         // of repeats; of probes that could be done without
 	firstLeft              []time.Duration // by class, the longest that a try was given
 	rate, peak             float64         // answers a second; the most that a ready member gave on average
 	ready, owed            int             // members listed as ready; clients' repeats expected
@@ -228,6 +229,7 @@
 	q.prev, q.next = r.head.prev, &r.head
 	q.prev.next, q.next.prev = q, q
 	r.budget = min(r.budget+retryShare, retryBurst)
+	r.probeBudget = min(r.probeBudget+probeShare, 1)
 	if r.hopeless(q, now) {
 		r.giveUp(q)
 	} else {
@@ -710,7 +712,7 @@
 		share = spareShare
 	}
 	if p == nil || !r.usable(q, p, now) || !r.hasRoom(p, share, now) ||
-		(q.class.Consistency == Fresh && p.awaitsProbe) {
+		(q.class.Consistency == Fresh && p.awaitsProbe && r.probesFirst()) {
 		return nil
 	}
 	return p
@@ -786,8 +788,6 @@
 		return true
 	case r.cfg.Check == Unchecked:
 		return false
-	case m.pos == 0:
-		return m.local
 	}
 	return now-m.lag+r.cfg.Patience >= need || now-m.lagAt > lagHolds
 }
@@ -960,6 +960,11 @@
 	}
 }
 
+// probesFirst tells whether a member must be heard by a probe before its first use. Where every answer tells
+// role and position and replicas turn away what they are behind for, a wrong guess costs one miss. There
+// requests pay for first probes: one of each member by each router costs a large fleet more than it saves.
+func (r *Router) probesFirst() bool { return r.cfg.Check == Unchecked || !r.cfg.Positions }
+
 // lookAt opens the breaker of a member that takes work and answers none (hung, cut off, stuck), whatever the
 // cause. It could hurt where all stall together for long: then what comes in is held until they answer.
 // It also probes a member not heard yet and, where answers carry no position, each replica once per bound,
@@ -981,7 +986,9 @@
 	stale := !r.cfg.Positions && r.cfg.ReportsRole && m != m.g.primary && !m.open &&
 		now-m.probedAt >= r.bound && m.g.gap < r.bound && now-m.g.usedAt < 2*r.bound
 	lost := m.unreached && (m.open || now < m.restUntil) && now-m.probedAt >= knockPace
-	if (m.awaitsProbe && now-m.probedAt >= scoutPace) || stale || lost {
+	first := m.awaitsProbe && now-m.probedAt >= scoutPace && (r.probesFirst() || r.probeBudget >= 1)
+	if first || stale || lost {
+		r.probeBudget = max(r.probeBudget-1, 0)
 		m.probing, m.probedAt = true, now
 		r.act.Probe(m.ID)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -106,9 +106,14 @@
 }
 
 func newRig(t *testing.T, cfg Config, members []Member) *rig {
+	t.Helper()
+	return newSeededRig(t, cfg, members, 1)
+}
+
+func newSeededRig(t *testing.T, cfg Config, members []Member, seed uint64) *rig {
 	t.Helper()
 	g := &rig{t: t, recorder: newRecorder(), now: time.Hour}
-	r, err := New(cfg, 1, g.recorder)
+	r, err := New(cfg, seed, g.recorder)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/decide/fleet_test.go
@@ -0,0 +1,83 @@
+package decide
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// The tests in this file drive many routers that share nothing, each with its
+// own seed, and count over all of them.
+
+// groups returns n groups of a primary and two replicas in two zones.
+func groups(n int) []Member {
+	var ms []Member
+	for g := range n {
+		for i := range 3 {
+			ms = append(ms, Member{ID: uint32(3*g + i + 1), Group: g, Zone: (g + i) % 2, State: Ready, Primary: i == 0})
+		}
+	}
+	return ms
+}
+
+// checkingConfig is that of a fleet in which answers tell all that a probe does.
+func checkingConfig(routers int) Config {
+	cfg := testConfig()
+	cfg.Routers, cfg.Probes, cfg.Check, cfg.ReportsRole = routers, true, RefuseStale, true
+	return cfg
+}
+
+// When all routers start together, the fleet sends no more probes than its
+// requests pay for, whatever its size, and a fresh read waits for none.
+func TestProbesOfAFleetArePaidByItsRequests(t *testing.T) {
+	for _, routers := range []int{1, 3, 100} {
+		probes, requests := 0, 0
+		for i := range routers {
+			g := newSeededRig(t, checkingConfig(routers), groups(20), uint64(i+1))
+
+			for n := range 200 {
+				g.next++
+				g.r.Arrived(g.now, Request{ID: g.next, Class: n % 4, Group: n % 20, Session: 9, TimeLeft: 2 * time.Second})
+				if n == 1 && len(g.sends) != 2 {
+					t.Fatal("a fresh read waited for a probe")
+				}
+				for _, s := range g.sends[len(g.sends)-1:] {
+					g.r.Ended(g.now, Result{Request: s.req, Attempt: s.attempt, Member: s.member, Outcome: OK, Over: true})
+				}
+				g.wait(beat)
+				for _, m := range g.probes[min(probesHeard(g), len(g.probes)):] {
+					g.r.Probed(g.now, ProbeResult{Member: m, Outcome: OK, Note: Note{Position: g.now}})
+				}
+			}
+			probes, requests = probes+len(g.probes), requests+200
+		}
+		if paid := int(math.Ceil(probeShare * float64(requests))); probes > paid || probes == 0 {
+			t.Errorf("%d routers sent %d probes, their %d requests paid for %d", routers, probes, requests, paid)
+		}
+	}
+}
+
+// probesHeard is how many of a rig's probes have been answered.
+func probesHeard(g *rig) int {
+	n := len(g.probes)
+	for _, m := range g.r.order {
+		if m.probing {
+			n--
+		}
+	}
+	return n
+}
+
+// Where replicas serve unchecked, each member is still probed before its use.
+func TestUncheckedMembersAreProbedFirst(t *testing.T) {
+	cfg := checkingConfig(100)
+	cfg.Check = Unchecked
+	g := newRig(t, cfg, groups(20))
+	g.wait(beat)
+	if len(g.probes) != 60 {
+		t.Errorf("%d of 60 members were probed", len(g.probes))
+	}
+	if q := g.arrive(freshRead); len(g.sends) != 0 {
+		t.Errorf("fresh read %d did not wait for the probe of its primary", q)
+	}
+}
