Let most tries tell what time a first try has, not the longest one

To blame: spent took the longest time seen for that of first tries, so after one long last try each first try counted as a repeat that had used 240 ms; each refusal allowed two more such judgements. Ruled out: members without room, admission (the flags were logged). Change: a vote per class; what differs from the usual time either way is a repeat.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -51,6 +51,7 @@
 	sessionsKept = 1 << 14                // sessions whose commits a group remembers
 	owedMost     = 1 << 14                // clients' repeats that are waited for at most
 	clientJitter = 10 * time.Millisecond  // spread of the clients' way here
+	votesKept    = 32                     // for the usual time of tries: as many more others unseat it
 	scarceFor    = 10 * time.Second       // after a member refused a connection none is kept idle to it
 	unreachable  = 2                      // failures in a row after which another primary is looked for
 	forgetAfter  = 30 * time.Second       // an outcome or a gone member is waited for no longer
@@ -133,7 +134,8 @@
 	requests               map[uint64]*request
 	head                   request         // of the ring of requests, oldest first
 	budget, probeBudget    float64         // of repeats; of probes that could be done without
-	firstLeft              []time.Duration // by class, the longest that a try was given
+	usual                  []time.Duration // by class, the time that most tries are given, ...
+	votes                  []int           // ... and for how many more than others
 	rate, peak             float64         // answers a second; the most that a ready member gave on average
 	ready, owed            int             // members listed as ready; clients' repeats expected
 	latency, bound         time.Duration   // over all members; the tightest bound of a class
@@ -159,7 +161,7 @@
 	}
 	r.cfg.Classes = slices.Clone(cfg.Classes)
 	r.coldFloor = 1 / cfg.OverloadFor.Seconds() / float64(max(cfg.Routers, 1))
-	r.firstLeft = make([]time.Duration, len(cfg.Classes))
+	r.usual, r.votes = make([]time.Duration, len(cfg.Classes)), make([]int, len(cfg.Classes))
 	for i := range r.cfg.Classes {
 		c := &r.cfg.Classes[i]
 		if c.Aim <= 0 || c.Worth < 0 || math.IsNaN(c.Worth) {
@@ -239,16 +241,23 @@
 	}
 }
 
-// spent is how much of its client's wait q's earlier tries surely used: a try with less time than first
-// tries get is a repeat, cut to what is left of its deadline, and its aim counts from the first: in a retry
-// storm late ones go first. Uneven first tries look the same, so those given up bound it, twice over.
+// spent is how much of its client's wait q's earlier tries surely used. First tries get the usual time; one
+// that gets another is a repeat, given what is left of its deadline, be that less or more, and its aim counts
+// from the first: in a retry storm late ones go first. Uneven first tries look the same, so those given up
+// bound it, twice over.
 func (r *Router) spent(q *request) time.Duration {
-	r.firstLeft[q.Class] = max(r.firstLeft[q.Class], q.TimeLeft)
-	if r.firstLeft[q.Class]-q.TimeLeft < clientJitter || r.owed < 1 {
+	votes := &r.votes[q.Class]
+	if (q.TimeLeft - r.usual[q.Class]).Abs() < clientJitter {
+		*votes = min(*votes+1, votesKept)
 		return 0
 	}
-	r.owed, q.earns = r.owed-1, 0
-	return max(q.class.Deadline-q.TimeLeft, 0)
+	if *votes--; *votes < 0 {
+		r.usual[q.Class], *votes = q.TimeLeft, 1
+	} else if r.owed > 0 {
+		r.owed, q.earns = r.owed-1, 0
+		return max(q.class.Deadline-q.TimeLeft, 0)
+	}
+	return 0
 }
 
 // Lapsed says that the client has gone.
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -104,3 +104,31 @@
 		t.Errorf("%d of 20 attempts that were due were sent", len(g.sends))
 	}
 }
+
+// Clients that give each try a part of their wait give a last one all that is
+// left, which is more: first tries are no repeats because of that.
+func TestLongLastTriesMakeFirstTriesNoRepeats(t *testing.T) {
+	g := newRig(t, checkingConfig(80), groups(1))
+	try := func(left time.Duration) uint64 {
+		g.next++
+		g.r.Arrived(g.now, Request{ID: g.next, Class: bounded, Session: 9, TimeLeft: left})
+		return g.next
+	}
+	for range 10 {
+		g.end(g.last(try(800*ms)), OK, RoleReplica, g.now)
+	}
+	g.r.owed = 100 // so many were given up
+	for range 20 {
+		g.end(g.last(try(800*ms)), OK, RoleReplica, g.now)
+		if id := try(1900 * ms); g.tries[id] != 1 {
+			t.Fatal("a repeat with most of its aim left was not sent")
+		}
+		g.end(g.last(g.next), OK, RoleReplica, g.now)
+	}
+	if id := try(800 * ms); g.tries[id] != 1 {
+		t.Error("a first try was refused as a late repeat")
+	}
+	if id := try(700 * ms); g.tries[id] != 0 {
+		t.Error("a repeat whose aim has passed was sent")
+	}
+}
