Take each member to bear one request at a time, whatever a new router has seen

To blame: hasRoom took the rate from what this router was answered (peak). A new one has seen nothing, refuses, is answered less and so learns less: its floor of 1 attempt a second for the whole fleet and member is a twentieth of a cold host. Change: the least that a member bears is one request at a time, 1 a latency, shared by the routers; the floor falls away.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -144,7 +144,7 @@
 	admit                  float64       // share of reads let in
 	primaryAim             time.Duration // the tightest aim of the classes that only a primary serves
 	spill                  float64       // share of reads that may fall to a primary
-	coldFloor              float64       // attempts a second to a cold member, this router's share
+	share                  float64       // of the fleet's load that comes here
 }
 
 // New returns a router that acts through act. Equal configs, seeds and events give equal actions.
@@ -160,7 +160,7 @@
 		primaryAim: math.MaxInt64,
 	}
 	r.cfg.Classes = slices.Clone(cfg.Classes)
-	r.coldFloor = 1 / cfg.OverloadFor.Seconds() / float64(max(cfg.Routers, 1))
+	r.share = 1 / float64(max(cfg.Routers, 1))
 	r.usual, r.votes = make([]time.Duration, len(cfg.Classes)), make([]int, len(cfg.Classes))
 	for i := range r.cfg.Classes {
 		c := &r.cfg.Classes[i]
@@ -869,13 +869,13 @@
 
 // hasRoom tells whether m may hold one more attempt, using at most share of its limit. A cold member has
 // an allowance too: coldShare of the rule's multiple of its present fraction of the most that members were
-// seen to bear on average. Summed over the routers that stays under the limit, also at first, as each starts
-// with a random part of its first turn. The floor, one attempt for all routers together in the time the rule
-// counts over, lets a router begin that has seen no load yet.
+// seen to bear on average. Each bears at least one request at a time, whatever this router has seen: one that
+// has just started saw little, and less the more it refuses. Summed over the routers that stays under the
+// limit, also at first, as each starts with a random part of its first turn.
 func (r *Router) hasRoom(m *member, share float64, now time.Duration) bool {
 	w := r.warmth(m, now)
 	if m.cold {
-		rate := max(r.peak*w, r.coldFloor) * r.cfg.OverloadFactor * coldShare
+		rate := max(r.peak, r.share/r.latency.Seconds()) * w * r.cfg.OverloadFactor * coldShare
 		m.allowance = min(coldSaved, m.allowance+rate*(now-m.refilledAt).Seconds())
 		m.refilledAt = now
 		if m.allowance < 1 {
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -160,3 +160,33 @@
 		t.Errorf("of 10 reads that failed at once %d were repeated, of 10 that failed late %d", early, late)
 	}
 }
+
+// Routers that have just started have seen no load: what they may send to cold
+// members must not wait for answers that only such sends could bring.
+func TestRestartedFleetServesColdMembers(t *testing.T) {
+	const routers, took = 80, 40 * ms // an answer's time: a member bears 25 a second at least
+	cfg := checkingConfig(routers)
+	cfg.ColdFor = time.Hour
+	served, asked := 0, 0
+	for i := range routers {
+		ms := groups(1)
+		for j := range ms {
+			ms[j].Started = time.Hour / 2 // at three fifths of their capacity
+		}
+		g := newSeededRig(t, cfg, ms, uint64(i+1))
+		g.wait(time.Duration(i) * time.Second / 10)
+		for range 20 {
+			asked++
+			id := g.arrive(write) // one in 8 s from each: ten a second from all
+			g.wait(took)
+			if g.tries[id] > 0 {
+				served++
+				g.end(g.last(id), OK, RolePrimary, 0)
+			}
+			g.wait(8*time.Second - took)
+		}
+	}
+	if served < asked*4/5 {
+		t.Errorf("%d of %d writes were sent, at two fifths of what the primary bears when warm", served, asked)
+	}
+}
