Pass over a member that fell silent until it is heard

To blame: learn. A time-out makes no rest, a connection not taken in time one of 40 ms, both mark busy for ten latencies, 0.4 s; a router of 80 meets a host each 4 s, and an attempt ends with its aim before silence opens the breaker. Change: such a member counts as busy until it is heard, 10 s at most.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,6 +20,7 @@
 	lagRise      = 0.3                    // of a greater lag; a smaller counts whole: age only adds to a lag
 	lagHolds     = time.Second            // that a lag seen keeps a checking replica out
 	busyFor      = 10                     // latencies that a failure marks busy: a queue turns over meanwhile
+	silentFor    = 10 * time.Second       // and silence, until it is heard: who meets it seldom learns late
 	silentAfter  = 6.0                    // latencies without an answer, shared among the attempts out, ...
 	silentLeast  = 2.5                    // ... but never fewer, that open a breaker: rare by chance
 	overdueAfter = 8.0                    // latencies after which an attempt may be stuck: rare by chance
@@ -157,10 +158,9 @@
 		cfg: cfg, act: act, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		members: map[uint32]*member{}, groups: map[int]*group{}, requests: map[uint64]*request{},
 		budget: retryBurst, latency: firstLatency, askWait: watchRetry, spill: 1, admit: 1,
-		primaryAim: math.MaxInt64,
+		primaryAim: math.MaxInt64, share: 1 / float64(max(cfg.Routers, 1)),
 	}
 	r.cfg.Classes = slices.Clone(cfg.Classes)
-	r.share = 1 / float64(max(cfg.Routers, 1))
 	r.usual, r.votes = make([]time.Duration, len(cfg.Classes)), make([]int, len(cfg.Classes))
 	for i := range r.cfg.Classes {
 		c := &r.cfg.Classes[i]
@@ -614,6 +614,9 @@
 			m.fails++
 		}
 		m.busyUntil = now + busyFor*r.latencyOf(m)
+		if (o == TimedOut || o == ConnectFailed) && !refused && a.sent >= m.heardAt {
+			m.busyUntil = now + silentFor
+		}
 		if o == Full { // its queue is longer than most aims: let fewer reads in anywhere, and to primaries
 			r.admit *= admitCut
 			r.spill *= admitCut
@@ -627,7 +630,7 @@
 // heard closes the breaker of a member that has answered.
 func (r *Router) heard(m *member, now time.Duration) {
 	m.heardAt, m.since, m.awaitsProbe = now, 0, false
-	m.unreached = false
+	m.unreached, m.busyUntil = false, min(m.busyUntil, now+busyFor*r.latencyOf(m))
 	if m.open {
 		m.open, m.trialWait = false, 0
 		m.limit = min(m.limit, reopenLimit)
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -190,3 +190,29 @@
 		t.Errorf("%d of %d writes were sent, at two fifths of what the primary bears when warm", served, asked)
 	}
 }
+
+// A router that meets a member once in seconds passes over one that fell
+// silent, until it is heard again: each further try would cost a read.
+func TestSilentMemberIsPassedOverUntilHeard(t *testing.T) {
+	for _, o := range []Outcome{TimedOut, ConnectFailed} {
+		members := append(groups(1), Member{ID: 4, Zone: 0, State: Ready})
+		g := newRig(t, checkingConfig(80), members) // 3 and 4 are replicas here
+		g.teach(3)
+		g.teach(4)
+		local := g.last(g.arrive(bounded))
+		g.wait(150 * ms)
+		g.r.Ended(g.now, Result{Request: local.req, Member: local.member, Attempt: local.attempt, Outcome: o, Latency: 150 * ms})
+		before := len(g.sends)
+		for range 4 {
+			g.wait(2 * time.Second)
+			if s := g.last(g.arrive(bounded)); s.member == local.member {
+				t.Errorf("outcome %d: the silent member was sent a read", o)
+			} else {
+				g.end(s, OK, RoleReplica, g.now)
+			}
+		}
+		if len(g.sends) == before {
+			t.Fatal("nothing was sent")
+		}
+	}
+}
