--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -204,7 +204,7 @@
 		g.r.Ended(g.now, Result{Request: local.req, Member: local.member, Attempt: local.attempt, Outcome: o, Latency: 150 * ms})
 		before := len(g.sends)
 		for range 4 {
-			g.wait(2 * time.Second)
+			g.wait(time.Second)
 			if s := g.last(g.arrive(bounded)); s.member == local.member {
 				t.Errorf("outcome %d: the silent member was sent a read", o)
 			} else {
@@ -214,5 +214,17 @@
 		if len(g.sends) == before {
 			t.Fatal("nothing was sent")
 		}
+		// A late answer tells that it is there: it is used again well before silentFor is over.
+		g.r.Ended(g.now, Result{Request: 1 << 40, Member: local.member, Outcome: OK})
+		g.wait(2 * time.Second)
+		back := false
+		for range 20 {
+			s := g.last(g.arrive(bounded))
+			back = back || s.member == local.member
+			g.end(s, OK, RoleReplica, g.now)
+		}
+		if !back {
+			t.Errorf("outcome %d: a member that was heard again is still passed over", o)
+		}
 	}
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -38,8 +38,8 @@
 	Resumes bool
 }
 
-// Run follows the list until ctx ends: the whole of it first, then what
-// changes. It waits for news in the goroutine that calls it.
+// Run follows the list until ctx ends: the whole of it first, unless the
+// router holds one to go on from, then what changes. It waits for news in the goroutine that calls it.
 func (w *Watcher) Run(ctx context.Context) {
 	wait := w.Pace.First(w.Resumes)
 	for {
