Add membership rules: SWIM probes with Lifeguard's doubt and suspicion, push-pull pages

This is its pure core: Node takes Join, Tick, Receive and Leave with the time in ms and returns packets and view changes. Direct and indirect probes with nacks, Lifeguard's local health (slower probes while a member doubts itself), suspicions that shrink with independent confirmations, refutation by incarnation, restarts told apart by start time, two live instances under one name reported, gossip piggy-backed within a byte budget, push-pull in pages that go round the names and also carry what the sender holds of the receiver, so both sides of a healed partition refute at once.

--- /dev/null
+++ b/internal/membership/gossip.go
@@ -0,0 +1,74 @@
+package membership
+
+import (
+	"math"
+	"slices"
+)
+
+// broadcasts is the queue of rumors to piggy-back: one a member, the newest,
+// each sent on a bounded number of packets. It holds at most one entry a
+// member, so it is bounded by the view.
+type broadcasts struct {
+	items []broadcast
+}
+
+type broadcast struct {
+	r    Rumor
+	sent int
+}
+
+// add queues r in place of anything said of the same name.
+func (q *broadcasts) add(r Rumor) {
+	q.drop(r.Name)
+	q.items = append(q.items, broadcast{r: r})
+}
+
+func (q *broadcasts) drop(name string) {
+	q.items = slices.DeleteFunc(q.items, func(b broadcast) bool { return b.r.Name == name })
+}
+
+// limit is how many packets a rumor rides on: RetransmitMult x
+// ceil(log10(n+1)), which reaches all n members with high probability.
+func (n *Node) limit() int {
+	return n.cfg.RetransmitMult * int(math.Ceil(math.Log10(float64(len(n.members)+2))))
+}
+
+// fill refills the budget: BudgetBytesS a second, one second's worth at most.
+func (n *Node) fill(now int64) {
+	if now > n.filled {
+		n.tokens = math.Min(float64(n.cfg.BudgetBytesS), n.tokens+float64(n.cfg.BudgetBytesS)*float64(now-n.filled)/1000)
+		n.filled = now
+	}
+}
+
+// send puts a packet out. A packet of the probe (protocol true) goes even when
+// the budget is spent, bare; gossip rides on it only within the budget and
+// the packet's size, least-sent rumors first.
+func (n *Node) send(to string, m Message, now int64, protocol bool) {
+	n.fill(now)
+	m.From = n.self.Name
+	size := m.size()
+	if !protocol && float64(size) > n.tokens {
+		n.stats.HeldBack++
+		return
+	}
+	if m.Kind != Sync && m.Kind != SyncReply && len(n.queue.items) > 0 {
+		room := min(n.cfg.MaxPacket-size, int(n.tokens)-size)
+		slices.SortStableFunc(n.queue.items, func(a, b broadcast) int { return a.sent - b.sent })
+		limit := n.limit()
+		for i := range n.queue.items {
+			b := &n.queue.items[i]
+			if s := b.r.size(); s <= room {
+				m.Rumors = append(m.Rumors, b.r)
+				room -= s
+				size += s
+				b.sent++
+			}
+		}
+		n.queue.items = slices.DeleteFunc(n.queue.items, func(b broadcast) bool { return b.sent >= limit })
+	}
+	n.tokens -= float64(size)
+	n.stats.PacketsOut++
+	n.stats.BytesOut += uint64(size)
+	n.out.Packets = append(n.out.Packets, Packet{To: to, Msg: m})
+}
--- /dev/null
+++ b/internal/membership/settle_test.go
@@ -0,0 +1,166 @@
+package membership
+
+import (
+	"math"
+	"testing"
+)
+
+// bound is the stated bound on settling after one fault among p members:
+// the longest suspicion (SuspicionMaxMult x SuspicionMult x log10 p
+// periods), a probe round to notice (up to 2 periods, doubled by doubt), and
+// gossip's spread in log2(p)+4 periods more.
+func bound(cfg Config, p int) int64 {
+	logs := math.Max(1, math.Log10(float64(p)))
+	susp := cfg.SuspicionMaxMult * cfg.SuspicionMult * logs * float64(cfg.PeriodMs)
+	spread := (math.Log2(float64(p)) + 4) * float64(cfg.PeriodMs)
+	return int64(susp + 4*float64(cfg.PeriodMs) + spread)
+}
+
+func TestTenJoinThroughOneSeed(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newNet(t, seed, 10, 1)
+		w.start()
+		took := w.settle(bound(w.cfg, 10), nil)
+		t.Logf("seed %d: settled in %d ms", seed, took)
+	}
+}
+
+func TestAThirdKilledAtOnce(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newNet(t, seed, 12, 1)
+		w.start()
+		w.settle(bound(w.cfg, 12), nil)
+		for _, p := range w.procs[8:] {
+			w.kill(p)
+		}
+		took := w.settle(bound(w.cfg, 12), nil)
+		if w.falseDead > 0 {
+			t.Fatalf("seed %d: %d members taken for dead while they ran", seed, w.falseDead)
+		}
+		t.Logf("seed %d: settled in %d ms after the kill (bound %d)", seed, took, bound(w.cfg, 12))
+	}
+}
+
+func TestLossOfAFifthKillsNobody(t *testing.T) {
+	for seed := range uint64(3) {
+		w := newNet(t, seed, 12, 1)
+		w.loss = 0.2
+		w.start()
+		w.settle(2*bound(w.cfg, 12), nil)
+		w.run(120_000)
+		if w.falseDead > 0 {
+			t.Fatalf("seed %d: %d members taken for dead at 20%% loss", seed, w.falseDead)
+		}
+		w.settle(bound(w.cfg, 12), nil)
+	}
+}
+
+func TestPausedPastSuspicionRefutesAndNoGhost(t *testing.T) {
+	w := newNet(t, 3, 8, 1)
+	w.start()
+	w.settle(bound(w.cfg, 8), nil)
+	p := w.procs[5]
+	inc := p.node.self.Inc
+	p.paused = w.now + 2*bound(w.cfg, 8)
+	w.run(2 * bound(w.cfg, 8))
+	if _, ok := w.deadAt[p.name]; !ok {
+		t.Fatal("a member paused past its suspicion was not taken for dead")
+	}
+	w.settle(bound(w.cfg, 8), nil)
+	if p.node.self.Inc <= inc {
+		t.Fatalf("the paused member came back at incarnation %d, not above %d", p.node.self.Inc, inc)
+	}
+	if w.ghosts > 0 || w.falseDead > 0 {
+		t.Fatalf("ghosts %d, false dead %d", w.ghosts, w.falseDead)
+	}
+}
+
+func TestSplitIntoTwoZonesAndHeal(t *testing.T) {
+	for seed := range uint64(3) {
+		w := newNet(t, seed, 12, 2)
+		w.start()
+		w.settle(bound(w.cfg, 12), nil)
+		w.cut = func(a, b *proc) bool { return a.zone != b.zone }
+		sameZone := func(v, s *proc) bool { return v.zone == s.zone }
+		w.settle(bound(w.cfg, 12), sameZone)
+		w.run(30_000)
+		if !w.settled(sameZone) {
+			t.Fatalf("seed %d: a half is wrong about itself during the split", seed)
+		}
+		w.cut = nil
+		took := w.settle(3*bound(w.cfg, 12), nil)
+		t.Logf("seed %d: healed in %d ms", seed, took)
+		if w.falseDead > 0 || w.ghosts > 0 {
+			t.Fatalf("seed %d: false dead %d, ghosts %d", seed, w.falseDead, w.ghosts)
+		}
+	}
+}
+
+func TestOneWayCutKillsNobody(t *testing.T) {
+	w := newNet(t, 4, 8, 1)
+	w.start()
+	w.settle(bound(w.cfg, 8), nil)
+	a, b := w.procs[1], w.procs[2]
+	w.cut = func(x, y *proc) bool { return x == a && y == b } // b does not hear a
+	w.run(60_000)
+	w.cut = nil
+	if w.falseDead > 0 {
+		t.Fatalf("%d taken for dead across a one-way cut", w.falseDead)
+	}
+}
+
+func TestRestartUnderTheSameName(t *testing.T) {
+	w := newNet(t, 5, 8, 1)
+	w.start()
+	w.settle(bound(w.cfg, 8), nil)
+	p := w.procs[3]
+	w.kill(p)
+	w.run(500)
+	w.boot(p, []string{w.procs[0].addr})
+	took := w.settle(bound(w.cfg, 8), nil)
+	t.Logf("the new instance was taken in %d ms", took)
+	if w.ghosts > 0 {
+		t.Fatalf("%d ghosts", w.ghosts)
+	}
+}
+
+func TestAMemberThatAnswersLate(t *testing.T) {
+	w := newNet(t, 6, 8, 1)
+	w.start()
+	w.settle(bound(w.cfg, 8), nil)
+	w.late[w.procs[4].name] = w.cfg.ProbeTimeoutMs + 20 // past the direct wait, within the period
+	w.run(60_000)
+	if w.falseDead > 0 {
+		t.Fatalf("%d taken for dead that only answered late", w.falseDead)
+	}
+}
+
+func TestGracefulLeave(t *testing.T) {
+	w := newNet(t, 7, 8, 1)
+	w.start()
+	w.settle(bound(w.cfg, 8), nil)
+	p := w.procs[2]
+	w.take(p, p.node.Leave(w.now))
+	w.run(500)
+	w.kill(p)
+	for _, v := range w.procs {
+		if v.running && v.node.members[p.name].State != Left {
+			t.Fatalf("%s holds %s as %v, not left", v.name, p.name, v.node.members[p.name].State)
+		}
+	}
+}
+
+func TestTwoInstancesUnderOneName(t *testing.T) {
+	w := newNet(t, 8, 6, 1)
+	w.start()
+	w.settle(bound(w.cfg, 6), nil)
+	twin := &proc{name: w.procs[1].name, addr: "127.0.0.9:9999", zone: "z0"}
+	w.procs = append(w.procs, twin)
+	w.byAddr[twin.addr] = twin
+	w.run(100)
+	w.boot(twin, []string{w.procs[0].addr})
+	w.run(5_000)
+	if w.procs[1].node.stats.Conflicts == 0 {
+		t.Fatal("the older instance was not told of the newer one under its name")
+	}
+}
