--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -25,6 +25,11 @@
 	ReclaimMs        int64   // a dead or left member is forgotten after this
 	MaxPacket        int     // bytes in one packet, all told
 	BudgetBytesS     int     // bytes a second for gossip and push-pull; probes come first
+
+	// Sabotage takes out one guard, for drills that must see their check
+	// fail: "no-refute", "no-pushpull" or "no-suspicion" (a failed probe is a
+	// death at once). Empty in service.
+	Sabotage string
 }
 
 // Defaults are settings for a loopback or data-centre network: a 200 ms
@@ -59,6 +64,8 @@
 		return fmt.Errorf("membership: max_packet %d, want 512 to 1400", c.MaxPacket)
 	case c.BudgetBytesS < c.MaxPacket:
 		return fmt.Errorf("membership: budget_bytes_s %d, want max_packet %d or more", c.BudgetBytesS, c.MaxPacket)
+	case c.Sabotage != "" && c.Sabotage != "no-refute" && c.Sabotage != "no-pushpull" && c.Sabotage != "no-suspicion":
+		return fmt.Errorf("membership: sabotage %q, want no-refute, no-pushpull or no-suspicion", c.Sabotage)
 	case rumorOverhead+len(c.Name)+len(c.Addr)+len(c.Zone)+messageOverhead > c.MaxPacket/4:
 		return errors.New("membership: name, address and zone are too long for a packet")
 	}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -67,3 +67,6 @@
 	Packets []Packet
 	Changes []Change
 }
+
+// PacketSize is the most bytes that m takes in a packet, as the rules reckon it.
+func PacketSize(m Message) int { return m.size() }
--- a/internal/membership/net_test.go
+++ b/internal/membership/net_test.go
@@ -25,6 +25,7 @@
 	late    map[string]int64          // ms added to what a member sends
 	bytes   uint64
 
+	quiet             bool // no log lines: the sabotage tests expect failures
 	falseDead, ghosts int
 	deadAt            map[string]int64 // name -> when some running member first took it for dead
 }
@@ -99,11 +100,11 @@
 	if c.Member.State == Dead && subject != nil && w.up(subject) && subject.node.self.Start == c.Member.Start &&
 		(w.cut == nil || !w.cut(p, subject) && !w.cut(subject, p)) {
 		w.falseDead++
-		w.t.Logf("%d ms: %s took %s for dead while it ran", w.now, p.name, c.Member.Name)
+		w.logf("%d ms: %s took %s for dead while it ran", w.now, p.name, c.Member.Name)
 	}
 	if c.Member.State == Alive && c.Was >= Dead && subject != nil && (!subject.running || subject.node.self.Start != c.Member.Start) {
 		w.ghosts++
-		w.t.Logf("%d ms: %s took %s for alive again, which does not run", w.now, p.name, c.Member.Name)
+		w.logf("%d ms: %s took %s for alive again, which does not run", w.now, p.name, c.Member.Name)
 	}
 	if c.Member.State == Dead {
 		if _, ok := w.deadAt[c.Member.Name]; !ok {
@@ -179,6 +180,22 @@
 	return true
 }
 
+func (w *net) logf(format string, args ...any) {
+	if !w.quiet {
+		w.t.Logf(format, args...)
+	}
+}
+
+// settles runs until settled, at most limit ms, and says whether it did.
+func (w *net) settles(limit int64) bool {
+	for from := w.now; w.now-from < limit; w.run(50) {
+		if w.settled(nil) {
+			return true
+		}
+	}
+	return false
+}
+
 // settle runs until settled, at most limit ms, and says how long it took.
 func (w *net) settle(limit int64, right func(viewer, subject *proc) bool) int64 {
 	from := w.now
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -214,7 +214,7 @@
 		if r.Start > n.self.Start || r.Addr > n.self.Addr {
 			n.yielded = true // the newer one keeps the name; we stop refuting
 		}
-	case n.leaving || n.yielded:
+	case n.leaving || n.yielded || n.cfg.Sabotage == "no-refute":
 	case r.State != Alive && r.Inc >= n.self.Inc:
 		n.self.Inc = r.Inc + 1
 		n.stats.Refuted++
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -51,7 +51,7 @@
 	if n.probe == nil && now >= n.next {
 		n.start(now)
 	}
-	if now >= n.nextSync {
+	if now >= n.nextSync && n.cfg.Sabotage != "no-pushpull" {
 		n.pushPull(now)
 	}
 	return n.take()
@@ -131,7 +131,11 @@
 		return
 	}
 	n.stats.Suspected++
-	n.apply(Rumor{Name: e.Name, Addr: e.Addr, Zone: e.Zone, Start: e.Start, Inc: e.Inc, State: Suspect, By: n.self.Name}, now)
+	r := Rumor{Name: e.Name, Addr: e.Addr, Zone: e.Zone, Start: e.Start, Inc: e.Inc, State: Suspect, By: n.self.Name}
+	if n.cfg.Sabotage == "no-suspicion" {
+		r.State = Dead
+	}
+	n.apply(r, now)
 }
 
 // acked takes an ack: of our probe, or of one we carry for another.
--- a/internal/membership/settle_test.go
+++ b/internal/membership/settle_test.go
@@ -164,3 +164,44 @@
 		t.Fatal("the older instance was not told of the newer one under its name")
 	}
 }
+
+// TestGuardsAreNeeded takes each guard out and sees the check that it
+// guards fail: refutation (a paused member stays dead), push-pull (a healed
+// split stays apart) and suspicion (loss kills members that run).
+func TestGuardsAreNeeded(t *testing.T) {
+	for _, c := range []struct {
+		sabotage string
+		fails    func(w *net) bool
+	}{
+		{"no-refute", func(w *net) bool {
+			w.start()
+			w.settle(bound(w.cfg, 8), nil)
+			w.procs[5].paused = w.now + 2*bound(w.cfg, 8)
+			w.run(2 * bound(w.cfg, 8))
+			return !w.settles(2 * bound(w.cfg, 8))
+		}},
+		{"no-pushpull", func(w *net) bool {
+			w.start()
+			w.settle(bound(w.cfg, 8), nil)
+			w.cut = func(a, b *proc) bool { return a.zone != b.zone }
+			w.run(30_000)
+			w.cut = nil
+			return !w.settles(3 * bound(w.cfg, 8))
+		}},
+		{"no-suspicion", func(w *net) bool {
+			w.loss = 0.2
+			w.start()
+			w.run(60_000)
+			return w.falseDead > 0
+		}},
+	} {
+		for _, sabotage := range []string{"", c.sabotage} {
+			w := newNet(t, 11, 8, 2)
+			w.quiet = sabotage != ""
+			w.cfg.Sabotage = sabotage
+			if failed, want := c.fails(w), sabotage != ""; failed != want {
+				t.Errorf("the check that %s guards: failed %v with sabotage %q, want %v", c.sabotage, failed, sabotage, want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/wire/wire_test.go
@@ -0,0 +1,82 @@
+package wire
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lotusbend/internal/membership"
+)
+
+func genRumor() *rapid.Generator[membership.Rumor] {
+	return rapid.Custom(func(t *rapid.T) membership.Rumor {
+		s := rapid.StringMatching(`[a-z0-9.:]{0,24}`)
+		return membership.Rumor{Name: rapid.StringMatching(`[a-z0-9]{1,24}`).Draw(t, "name"), Addr: s.Draw(t, "addr"),
+			Zone: s.Draw(t, "zone"), Start: rapid.Int64().Draw(t, "start"), Inc: rapid.Uint64().Draw(t, "inc"),
+			State: membership.State(rapid.IntRange(0, 3).Draw(t, "state")), By: s.Draw(t, "by")}
+	})
+}
+
+// TestRoundTrip holds every message that membership makes: decoded as it was
+// encoded, and within the size that the rules reckon with.
+func TestRoundTrip(t *testing.T) {
+	c, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		m := membership.Message{Kind: membership.Kind(rapid.IntRange(1, 6).Draw(t, "kind")), Seq: rapid.Uint64().Draw(t, "seq"),
+			From: rapid.StringMatching(`[a-z0-9]{1,24}`).Draw(t, "from"), Rumors: rapid.SliceOfN(genRumor(), 0, 12).Draw(t, "rumors")}
+		b, err := c.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(b) > membership.PacketSize(m) {
+			t.Fatalf("%d bytes, the rules reckon with %d", len(b), membership.PacketSize(m))
+		}
+		back, err := c.Decode(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(m.Rumors) == 0 {
+			m.Rumors = nil
+		}
+		if !reflect.DeepEqual(back, m) {
+			t.Fatalf("decoded %+v, sent %+v", back, m)
+		}
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	c, _ := New()
+	for name, b := range map[string][]byte{
+		"too large": bytes.Repeat([]byte{0}, MaxPacket+1),
+		"empty":     {},
+		"not a map": {0x01},
+		"version 2": {0xa3, 0x00, 0x02, 0x01, 0x01, 0x03, 0x61, 'a'},
+		"kind 9":    {0xa3, 0x00, 0x01, 0x01, 0x09, 0x03, 0x61, 'a'},
+		"deep":      bytes.Repeat([]byte{0x81}, 64),
+	} {
+		if _, err := c.Decode(b); err == nil {
+			t.Errorf("%s: decoded", name)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	c, _ := New()
+	good, _ := c.Encode(membership.Message{Kind: membership.Sync, From: "r1", Rumors: []membership.Rumor{{Name: "r2", Addr: "127.0.0.1:7000"}}})
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := c.Decode(b)
+		if err != nil {
+			return
+		}
+		again, err := c.Encode(m)
+		if err != nil || len(again) > MaxPacket {
+			t.Fatalf("a decoded packet does not encode again: %v", err)
+		}
+	})
+}
