Property-test membership's rules under any order of delivery, loss, doubles and ticks

Three to five members, up to 300 events drawn by rapid: nothing panics, a member's own incarnation never falls, what one holds of another never goes back in (start, incarnation, state), and no member is held at an incarnation that it never said.

--- /dev/null
+++ b/internal/membership/model_test.go
@@ -0,0 +1,87 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestAnyOrderKeepsTheRules plays 3 to 5 members under arbitrary orders of
+// delivery, losses, duplicates and ticks, and holds after every event:
+// nothing panics; a member's own incarnation never falls; what a member holds
+// of another never goes back in (start, incarnation, state) unless forgotten;
+// only a member itself raises its incarnation above what it has said.
+func TestAnyOrderKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(3, 5).Draw(t, "members")
+		cfg := Defaults()
+		nodes := make([]*Node, count)
+		addr := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", 7000+i) }
+		var wire []Packet
+		var now int64
+		for i := range nodes {
+			c := cfg
+			c.Name, c.Addr, c.Start, c.Seed = fmt.Sprint("m", i), addr(i), int64(i), uint64(i)
+			nodes[i] = New(c, 0)
+		}
+		for i := 1; i < count; i++ {
+			wire = append(wire, nodes[i].Join([]string{addr(0)}, 0).Packets...)
+		}
+		held := func() map[string]Rumor {
+			m := map[string]Rumor{}
+			for i, n := range nodes {
+				for name, e := range n.members {
+					m[fmt.Sprint(i, name)] = e.Rumor
+				}
+			}
+			return m
+		}
+		said := make([]uint64, count)
+		for step := range rapid.IntRange(1, 300).Draw(t, "steps") {
+			before := held()
+			switch ev := rapid.IntRange(0, 9).Draw(t, fmt.Sprint("event", step)); {
+			case ev < 5 && len(wire) > 0: // deliver any packet, perhaps twice
+				k := rapid.IntRange(0, len(wire)-1).Draw(t, "which")
+				p := wire[k]
+				if !rapid.Bool().Draw(t, "dup") {
+					wire = append(wire[:k], wire[k+1:]...)
+				}
+				var to int
+				fmt.Sscanf(p.To, "127.0.0.1:%d", &to)
+				if to -= 7000; to >= 0 && to < count {
+					wire = append(wire, nodes[to].Receive(addr(to), p.Msg, now).Packets...)
+				}
+			case ev < 7 && len(wire) > 0: // lose one
+				k := rapid.IntRange(0, len(wire)-1).Draw(t, "lost")
+				wire = append(wire[:k], wire[k+1:]...)
+			default: // time passes for one member
+				now += int64(rapid.IntRange(1, 400).Draw(t, "ms"))
+				i := rapid.IntRange(0, count-1).Draw(t, "ticks")
+				wire = append(wire, nodes[i].Tick(now).Packets...)
+			}
+			if len(wire) > 2000 {
+				wire = wire[len(wire)-2000:]
+			}
+			for i, n := range nodes {
+				if n.self.Inc < said[i] {
+					t.Fatalf("m%d's incarnation fell from %d to %d", i, said[i], n.self.Inc)
+				}
+				said[i] = n.self.Inc
+			}
+			after := held()
+			for k, old := range before {
+				if r, ok := after[k]; ok && supersedes(old, r) {
+					t.Fatalf("%s went back from %+v to %+v", k, old, r)
+				}
+			}
+			for k, r := range after {
+				var i int
+				fmt.Sscanf(r.Name, "m%d", &i)
+				if r.Inc > nodes[i].self.Inc {
+					t.Fatalf("%s holds m%d at incarnation %d, which it never said (%d)", k, i, r.Inc, nodes[i].self.Inc)
+				}
+			}
+		}
+	})
+}
