--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -220,6 +220,12 @@
 		n.stats.Refuted++
 		n.queue.add(n.self)
 		n.doubt(+1) // Lifeguard: a member that others suspect may be the slow one
+		if e := n.members[r.By]; e != nil && e.State <= Suspect {
+			// The accuser hears the refutation at once, not by gossip's
+			// chance: in a split under loss, suspicions confirmed by
+			// members on the same side ended in deaths before it came.
+			n.send(e.Addr, Message{Kind: Ping, Target: e.Name, Rumors: []Rumor{n.self}}, now, true)
+		}
 	}
 }
 
