Bound the members a peer can make a router hold; copy the view on changes and ticks only

Read again: a peer could send rumors of ever new names and grow the view without end (the relays, queue and suspicions were bounded, the members were not). MaxMembers (4,096 by default) stops it, counted as dropped; a test floods 500 names at a bound of 50 and fails without the guard (500 held). The transport copied and sorted the whole view after every packet; it now does so on a change or a tick (every 10 ms), which the admin page reads.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -25,6 +25,7 @@
 	ReclaimMs        int64   // a dead or left member is forgotten after this
 	MaxPacket        int     // bytes in one packet, all told
 	BudgetBytesS     int     // bytes a second for gossip and push-pull; probes come first
+	MaxMembers       int     // members held at most: a peer's rumors of new names past it are dropped
 
 	// Sabotage takes out one guard, for drills that must see their check
 	// fail: "no-refute", "no-pushpull" or "no-suspicion" (a failed probe is a
@@ -39,7 +40,7 @@
 		PeriodMs: 200, ProbeTimeoutMs: 80, IndirectK: 3,
 		SuspicionMult: 4, SuspicionMaxMult: 6, RetransmitMult: 4, AwarenessMax: 8,
 		SyncMs: 1000, ReconnectEvery: 4, ReclaimMs: 60_000,
-		MaxPacket: 1400, BudgetBytesS: 8000,
+		MaxPacket: 1400, BudgetBytesS: 8000, MaxMembers: 4096,
 	}
 }
 
@@ -58,6 +59,8 @@
 		return fmt.Errorf("membership: suspicion_mult %g and max %g, want 1 or more", c.SuspicionMult, c.SuspicionMaxMult)
 	case c.RetransmitMult < 1 || c.AwarenessMax < 0 || c.ReconnectEvery < 1:
 		return errors.New("membership: retransmit_mult and reconnect_every want 1 or more, awareness_max 0 or more")
+	case c.MaxMembers < 1:
+		return fmt.Errorf("membership: max_members %d, want 1 or more", c.MaxMembers)
 	case c.SyncMs <= 0 || c.ReclaimMs <= 0:
 		return errors.New("membership: sync_ms and reclaim_ms want above 0")
 	case c.MaxPacket < 512 || c.MaxPacket > 1400:
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -158,6 +158,10 @@
 		if r.State != Alive && r.State != Suspect {
 			return // a stranger's death tells nothing we could probe
 		}
+		if len(n.members) >= n.cfg.MaxMembers {
+			n.stats.Dropped++ // a peer that invents names must not grow the view without end
+			return
+		}
 		e = &entry{Rumor: r, since: now}
 		n.members[r.Name] = e
 		i, _ := slices.BinarySearch(n.names, r.Name)
--- a/internal/membership/settle_test.go
+++ b/internal/membership/settle_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"math"
 	"testing"
 )
@@ -205,3 +206,17 @@
 		}
 	}
 }
+
+// TestInventedNamesAreBounded floods a member with rumors of new names: the
+// view stops at MaxMembers and the rest is counted.
+func TestInventedNamesAreBounded(t *testing.T) {
+	cfg := Defaults()
+	cfg.Name, cfg.Addr, cfg.MaxMembers = "m0", "127.0.0.1:7000", 50
+	n := New(cfg, 0)
+	for i := range 500 {
+		n.Receive("127.0.0.1:9", Message{Kind: Ack, Rumors: []Rumor{{Name: fmt.Sprint("x", i), Addr: "127.0.0.1:9"}}}, 0)
+	}
+	if len(n.members) != 50 || n.stats.Dropped != 450 {
+		t.Fatalf("%d members held, %d dropped; want 50 and 450", len(n.members), n.stats.Dropped)
+	}
+}
--- a/internal/membership/udp/udp.go
+++ b/internal/membership/udp/udp.go
@@ -146,7 +146,7 @@
 	defer t.conn.Close()
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
-	t.carry(t.node.Join(t.seeds, int64(t.clk.Now())))
+	t.carry(t.node.Join(t.seeds, int64(t.clk.Now())), true)
 	for {
 		select {
 		case <-ctx.Done():
@@ -161,25 +161,28 @@
 				t.counters.Malformed.Add(1)
 				continue
 			}
-			t.carry(t.node.Receive(d.from.String(), m, int64(t.clk.Now())))
+			t.carry(t.node.Receive(d.from.String(), m, int64(t.clk.Now())), false)
 		case <-tick.C:
-			t.carry(t.node.Tick(int64(t.clk.Now())))
+			t.carry(t.node.Tick(int64(t.clk.Now())), true)
 		}
 	}
 }
 
 // leave tells the fleet and ticks on a little so that the rumor travels.
 func (t *Transport) leave() {
-	t.carry(t.node.Leave(int64(t.clk.Now())))
+	t.carry(t.node.Leave(int64(t.clk.Now())), true)
 	end := time.Now().Add(leaveFor)
 	for time.Now().Before(end) {
 		time.Sleep(20 * time.Millisecond)
-		t.carry(t.node.Tick(int64(t.clk.Now())))
+		t.carry(t.node.Tick(int64(t.clk.Now())), true)
 	}
 }
 
 // carry sends the packets, logs the changes and keeps the view.
-func (t *Transport) carry(r membership.Ready) {
+// The view is copied and sorted on a change or a tick (refresh), not on
+// every packet: with many members a copy per packet would cost more than
+// the packet.
+func (t *Transport) carry(r membership.Ready, refresh bool) {
 	for _, p := range r.Packets {
 		b, err := t.codec.Encode(p.Msg)
 		if err == nil {
@@ -201,7 +204,7 @@
 				"state", c.Member.State.String(), "was", c.Was.String(), "incarnation", c.Member.Inc, "change", changeName(c.Kind))
 		}
 	}
-	if len(r.Changes) > 0 || len(r.Packets) > 0 {
+	if len(r.Changes) > 0 || refresh {
 		v := t.node.View()
 		t.mu.Lock()
 		t.view = v
