Share a cold host's allowance among all routers the fleet view counts

Ruled out: scaling the retry budget. Its tokens are a tenth of a router's own first tries, so the fleet's repeats are a tenth of its first tries at any size; its saving of one is the least that lets one repeat happen, and cutting it by the fleet's size would stop repeats, not thin them.

Change: decide.Router.Seen(now, routers) sets the share to 1/max(FleetSize, seen); fewer seen never raise it. The udp transport offers its alive-or-suspect count on a channel holding only the latest; serve passes it to the module on its loop.

--- a/cmd/lotusbend/main.go
+++ b/cmd/lotusbend/main.go
@@ -123,9 +123,13 @@
 	if err != nil {
 		return err
 	}
-	if _, err := startMembership(ctx, c.Name, c.Seed, opt.Membership, log); err != nil {
+	fleet, err := startMembership(ctx, c.Name, c.Seed, opt.Membership, log)
+	if err != nil {
 		return err
 	}
+	if fleet != nil {
+		go n.seen(ctx, fleet.Sizes())
+	}
 	go loop.Run(context.Background())
 	go func() {
 		for range again {
--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -122,6 +122,18 @@
 	})
 }
 
+// seen passes the fleet view's counts to the module until ctx ends.
+func (n *node) seen(ctx context.Context, sizes <-chan int) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case k := <-sizes:
+			n.loop.Do(func() { n.router.Seen(k) })
+		}
+	}
+}
+
 // news passes a list on.
 func (n *node) news(list discovery.List) {
 	kind := decide.ListDelta
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -209,6 +209,12 @@
 	}
 }
 
+// Seen is the fleet view's count of routers alive or suspect, this one included. More than Config.Routers
+// shrink this router's share of a cold member's allowance; fewer never raise it: only leases prove fewer.
+func (r *Router) Seen(now time.Duration, routers int) {
+	r.share = 1 / float64(max(r.cfg.Routers, routers, 1))
+}
+
 // Arrived takes a client's request.
 func (r *Router) Arrived(now time.Duration, in Request) {
 	if r.requests[in.ID] != nil {
@@ -743,22 +749,11 @@
 	return t
 }
 
-// draw picks by 1 / (smoothed latency x (in flight + 1)); members not heard yet take the others' mean.
+// draw picks by 1 / (smoothed latency x (in flight + 1)); members not heard yet take the router's latency.
 func (r *Router) draw(ms []*member) *member {
-	var sum, heard time.Duration
-	for _, m := range ms {
-		if m.latency > 0 {
-			sum += m.latency
-			heard++
-		}
-	}
-	mean := r.latency
-	if heard > 0 {
-		mean = sum / heard
-	}
 	total := 0.0
 	for _, m := range ms {
-		m.weight = 1 / (cmp.Or(m.latency, mean).Seconds() * float64(m.out+1))
+		m.weight = 1 / (r.latencyOf(m).Seconds() * float64(m.out+1))
 		total += m.weight
 	}
 	x := r.rng.Float64() * total
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1178,7 +1178,7 @@
 // coldFleet plays many routers, each with its own seed and traffic, of which
 // one member starts anew; it returns the most that all sent it within the
 // time that the rule counts over, as a share of what the rule allows then.
-func coldFleet(t *testing.T, routers int, told int, load float64) (worst float64) {
+func coldFleet(t *testing.T, routers int, told int, load float64, seen ...int) (worst float64) {
 	cfg := testConfig()
 	cfg.Routers = told
 	const warmRate = 60 // requests a second that a warm member bears at full load
@@ -1187,6 +1187,9 @@
 	for i := range rigs {
 		rigs[i] = newRig(t, cfg, members)
 		rigs[i].r.rng = rand.New(rand.NewPCG(uint64(i), 7))
+		for _, n := range seen { // the fleet view's counts, in order
+			rigs[i].r.Seen(rigs[i].now, n)
+		}
 	}
 	rng := rand.New(rand.NewPCG(3, 4))
 	var sends []time.Duration // to member 2 since it started
@@ -1246,6 +1249,28 @@
 	}
 }
 
+// Settings that tell of too few routers overrun a cold member; a fleet view
+// that counts them all keeps it within the rule, and one that counts fewer
+// than told, or no view at all, changes nothing.
+func TestRoutersSeenBeyondTheToldShareACold(t *testing.T) {
+	worst := coldFleet(t, 140, 20, 1)
+	if worst <= 1 {
+		t.Fatalf("140 routers told of 20 sent a cold member %.2f of the rule: the case does not test", worst)
+	}
+	t.Logf("140 routers told of 20, no view: %.2f of the rule's rate", worst)
+	if worst = coldFleet(t, 140, 20, 1, 140); worst > 1 || worst == 0 {
+		t.Errorf("140 routers that saw 140 sent a cold member %.2f of what the rule allows", worst)
+	}
+	t.Logf("seeing 140: %.2f", worst)
+	if worst := coldFleet(t, 140, 20, 1, 200, 140); worst > 1 || worst == 0 {
+		t.Errorf("after 200 seen, then 140: %.2f of what the rule allows", worst)
+	}
+	told, fewer := coldFleet(t, 40, 40, 0.7), coldFleet(t, 40, 40, 0.7, 3)
+	if told != fewer {
+		t.Errorf("fewer routers seen than told changed the sends: %.4f, %.4f without a view", fewer, told)
+	}
+}
+
 // A router that restarts while the list is wrong hears of most members late.
 func TestMemberNamedLateIsNotCold(t *testing.T) {
 	g := newRig(t, testConfig(), trio()[:1])
--- a/internal/membership/udp/udp.go
+++ b/internal/membership/udp/udp.go
@@ -52,8 +52,10 @@
 	in       chan datagram
 	counters Counters
 
-	mu   sync.Mutex
-	view membership.View
+	mu    sync.Mutex
+	view  membership.View
+	sizes chan int // the latest count of members alive or suspect, if not yet taken
+	size  int      // the count last offered; owned by run
 }
 
 type datagram struct {
@@ -88,7 +90,7 @@
 	}
 	now := int64(clk.Now())
 	t := &Transport{conn: conn, clk: clk, log: log, codec: codec, node: membership.New(cfg, now),
-		seeds: seeds, in: make(chan datagram, queued)}
+		seeds: seeds, in: make(chan datagram, queued), sizes: make(chan int, 1)}
 	t.view = t.node.View()
 	go t.read()
 	go t.run(ctx)
@@ -105,6 +107,11 @@
 	return t.view
 }
 
+// Sizes tells the view's count of members alive or suspect whenever it
+// changes. Only the latest waits: one who reads late misses none that still
+// holds, and the loop never waits for the reader.
+func (t *Transport) Sizes() <-chan int { return t.sizes }
+
 // Dropped reads the transport's counters.
 func (t *Transport) Dropped() map[string]uint64 {
 	c := &t.counters
@@ -206,6 +213,14 @@
 	}
 	if len(r.Changes) > 0 || refresh {
 		v := t.node.View()
+		if v.Fleet.High != t.size { // offered before the view is shown: who sees it finds its count
+			t.size = v.Fleet.High
+			select { // an older count not yet taken is stale: it goes
+			case <-t.sizes:
+			default:
+			}
+			t.sizes <- t.size // cannot block: run is the only sender
+		}
 		t.mu.Lock()
 		t.view = v
 		t.mu.Unlock()
--- a/internal/membership/udp/udp_test.go
+++ b/internal/membership/udp/udp_test.go
@@ -61,6 +61,14 @@
 		case <-tick.C:
 		}
 	}
+	select { // the met views' count waits for the router, the latest only
+	case n := <-ts[2].Sizes():
+		if n != 3 {
+			t.Errorf("the size offered is %d once the view holds 3", n)
+		}
+	default:
+		t.Error("no size is offered")
+	}
 	d := ts[1].Dropped()
 	if d["malformed"]+d["oversized"]+d["rate_limited"]+d["queue_full"] == 0 {
 		t.Fatalf("the flood was not counted: %v", d)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -168,6 +168,12 @@
 	r.module.Listed(r.now(), kind, members)
 }
 
+// Seen takes the fleet view's count of routers alive or suspect; the module
+// uses it only where it counts more than the settings' FleetSize.
+func (r *Router) Seen(routers int) {
+	r.module.Seen(r.now(), routers)
+}
+
 // Submit takes a request. Its answer goes to from, which may name it by the
 // returned reference until then.
 func (r *Router) Submit(req Request, from Client, client slots.Ref) slots.Ref {
