--- a/cmd/lotuslab/fleetview.go
+++ b/cmd/lotuslab/fleetview.go
@@ -19,6 +19,8 @@
 	Kill     int     `help:"Routers killed at once (SIGKILL); the first is started again." default:"4"`
 	Pause    int     `help:"Routers paused (SIGSTOP) past their suspicion, then resumed." default:"1"`
 	SplitMs  int64   `help:"How long the cut lasts, in ms." default:"30000" name:"split-ms"`
+	Late     int     `help:"Routers whose every packet comes late past the direct probe's wait, from the join on." default:"1"`
+	Flood    int     `help:"Malformed datagrams sent straight at the first router; 0 for none." default:"2000"`
 	Sabotage string  `help:"Take a guard out of every router: the drill must fail." enum:",no-refute,no-pushpull,no-suspicion" default:""`
 	JSON     bool    `help:"Only the JSON object on standard output." name:"json"`
 	Router   string  `help:"The router's program; beside this one by default." type:"path"`
@@ -33,6 +35,9 @@
 	if !(c.Loss >= 0 && c.Loss < 0.5) || c.SplitMs < 0 || c.SplitMs > 120_000 {
 		return errors.New("loss must be from 0 to below 0.5, split-ms from 0 to 120000")
 	}
+	if c.Late < 0 || c.Late > c.Procs-2 || c.Flood < 0 || c.Flood > 100_000 {
+		return errors.New("late must leave two routers on time, flood be from 0 to 100000")
+	}
 	binary, err := lab.FindRouter(c.Router)
 	if err != nil {
 		return err
@@ -46,7 +51,7 @@
 		cut = ""
 	}
 	drill := lab.FleetviewDrill{Seed: c.Seed, Procs: c.Procs, Loss: c.Loss, Cut: cut, Kill: c.Kill, Pause: c.Pause,
-		SplitMs: c.SplitMs, Sabotage: c.Sabotage, Binary: binary, Progress: progress}
+		SplitMs: c.SplitMs, Late: c.Late, Flood: c.Flood, Sabotage: c.Sabotage, Binary: binary, Progress: progress}
 	if c.Logs {
 		drill.RouterLog = os.Stderr
 	}
--- a/internal/faultnet/relay.go
+++ b/internal/faultnet/relay.go
@@ -35,6 +35,7 @@
 	rng    *rand.Rand
 	faults Faults
 	cut    func(from, to int) bool
+	late   map[int]time.Duration // added to all that a member sends
 
 	pending                 atomic.Int64
 	Bytes, Carried, Dropped atomic.Uint64 // what passed, and what was lost or cut
@@ -70,6 +71,16 @@
 	r.faults = f
 }
 
+// Late delays everything member i sends by ms more, from now on; 0 ends it.
+func (r *Relay) Late(i int, ms float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.late == nil {
+		r.late = map[int]time.Duration{}
+	}
+	r.late[i] = time.Duration(ms * float64(time.Millisecond))
+}
+
 // Cut loses every packet for which cut says so; nil heals.
 func (r *Relay) Cut(cut func(from, to int) bool) {
 	r.mu.Lock()
@@ -128,7 +139,7 @@
 		copies = 2
 	}
 	for i := range d {
-		d[i] = time.Duration((f.DelayMs + r.rng.Float64()*f.JitterMs) * float64(time.Millisecond))
+		d[i] = time.Duration((f.DelayMs+r.rng.Float64()*f.JitterMs)*float64(time.Millisecond)) + r.late[from]
 	}
 	return copies, d
 }
--- a/internal/lab/fleetview.go
+++ b/internal/lab/fleetview.go
@@ -28,6 +28,8 @@
 	Kill      int     // members killed at once
 	Pause     int     // members paused past their suspicion, then resumed
 	SplitMs   int64   // how long a cut lasts
+	Late      int     // members whose every packet is late past the direct probe's wait, from the join on
+	Flood     int     // malformed datagrams sent straight at one member, 0 for none
 	Sabotage  string  // passed to the members: a guard taken out
 	Binary    string
 	Progress  io.Writer
@@ -51,6 +53,7 @@
 	FalseDead       int      `json:"false_dead"`
 	Ghosts          int      `json:"ghosts"`
 	MissedCrashes   int      `json:"missed_crashes"`
+	FloodDropped    uint64   `json:"flood_dropped"` // as the flooded member counted it
 	BytesPerMemberS float64  `json:"bytes_per_member_s"`
 	Faults          []string `json:"faults_seen,omitempty"`
 	OK              bool     `json:"ok"`
@@ -152,11 +155,11 @@
 			return res, err
 		}
 	}
-	w := &watcher{ms: ms, res: &res, progress: cmp.Or[io.Writer](o.Progress, io.Discard), bound: settleBound(o.Procs)}
+	w := &watcher{ms: ms, backs: backs, res: &res, progress: cmp.Or[io.Writer](o.Progress, io.Discard), bound: settleBound(o.Procs)}
 	w.phase(ctx, "join", nil)
 	w.play(ctx, o, rnd, relay)
 	res.BytesPerMemberS = float64(relay.Bytes.Load()) / float64(o.Procs) / time.Since(w.began).Seconds()
-	res.OK = res.FalseDead == 0 && res.Ghosts == 0 && res.MissedCrashes == 0
+	res.OK = res.FalseDead == 0 && res.Ghosts == 0 && res.MissedCrashes == 0 && (o.Flood == 0 || res.FloodDropped > 0)
 	for _, p := range res.Phases {
 		res.OK = res.OK && p.Settled
 	}
--- a/internal/lab/watch.go
+++ b/internal/lab/watch.go
@@ -1,11 +1,17 @@
 package lab
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -16,6 +22,7 @@
 // watcher reads every member's view and judges it against what the drill did.
 type watcher struct {
 	ms       []*member
+	backs    []netip.AddrPort // the members' own sockets, behind the relay
 	res      *FleetviewResult
 	progress interface{ Write([]byte) (int, error) }
 	bound    int64
@@ -175,6 +182,17 @@
 		return got
 	}
 	susp := w.bound - 1000
+	if o.Late > 0 {
+		late := draw(o.Late)
+		for _, m := range late { // past the direct probe's wait, within the period: nacks tell it is alive
+			relay.Late(w.index(m.r.Name), periodMs*2/5+20)
+		}
+		w.wait(ctx, w.bound)
+		w.phase(ctx, fmt.Sprintf("%d answering late always", len(late)), nil)
+	}
+	if o.Flood > 0 {
+		w.flood(ctx, rnd, o.Flood)
+	}
 	if o.Pause > 0 {
 		ps := draw(o.Pause)
 		for _, m := range ps {
@@ -239,3 +257,52 @@
 	}
 	w.wait(ctx, 2*periodMs)
 }
+
+// flood sends n malformed datagrams (random bytes, some past the largest
+// packet) straight at the first member's own socket, paced over about two
+// seconds, then checks that the views stay settled and that the member
+// counted the drops on its metrics page.
+func (w *watcher) flood(ctx context.Context, rnd *rand.Rand, n int) {
+	conn, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(w.backs[0]))
+	if err != nil {
+		w.phase(ctx, "flood could not be sent: "+err.Error(), func(int, int) bool { return false })
+		return
+	}
+	defer conn.Close()
+	b := make([]byte, membership.Defaults().MaxPacket+200)
+	pace := time.NewTicker(10 * time.Millisecond)
+	defer pace.Stop()
+	for sent, ticks := 0, 0; sent < n && ctx.Err() == nil; ticks++ {
+		if <-pace.C; ticks%10 == 0 { // judged as it goes: a death refuted at once is still seen
+			w.poll()
+		}
+		for range max(1, n/200) {
+			size := 1 + rnd.IntN(len(b))
+			for i := range b[:size] {
+				b[i] = byte(rnd.Uint32())
+			}
+			_, _ = conn.Write(b[:size])
+			sent++
+		}
+	}
+	w.phase(ctx, fmt.Sprintf("flood of %d malformed packets at one member", n), nil)
+	w.res.FloodDropped = w.dropped(w.ms[0].admin)
+}
+
+// dropped sums what a member's transport dropped, from its metrics page.
+func (w *watcher) dropped(admin string) uint64 {
+	resp, err := w.client.Get("http://" + admin + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var sum uint64
+	for sc := bufio.NewScanner(io.LimitReader(resp.Body, 1<<16)); sc.Scan(); {
+		name, value, _ := strings.Cut(sc.Text(), " ")
+		if n, err := strconv.ParseUint(value, 10, 64); err == nil && strings.HasPrefix(name, "membership_dropped_") &&
+			name != "membership_dropped_send_errors" {
+			sum += n
+		}
+	}
+	return sum
+}
