Draw the plot's byte budget, its legend at the left and plain tick labels

The first plot hid the bound under its legend and named sizes 1e+01; the budget of 8,000 bytes is now a line of its own. Looked at the PNG for 3, 30, 300 members.

--- a/internal/membership/scale_test.go
+++ b/internal/membership/scale_test.go
@@ -82,23 +82,24 @@
 	settle := plot.New()
 	settle.Title.Text = "Settling after a tenth is killed"
 	settle.X.Label.Text, settle.Y.Label.Text = "members", "seconds"
-	settle.X.Scale, settle.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{}
+	settle.X.Scale, settle.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	bytes := plot.New()
 	bytes.Title.Text = "Bytes a member sends a second"
 	bytes.X.Label.Text, bytes.Y.Label.Text = "members", "bytes / s"
-	bytes.X.Scale, bytes.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{}
+	bytes.X.Scale, bytes.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	err := plotutil.AddLinePoints(settle,
 		"settled", line(func(r scaleRow) float64 { return float64(r.kill) / 1000 }),
 		"bound", line(func(r scaleRow) float64 { return float64(r.most) / 1000 }))
 	if err == nil {
 		err = plotutil.AddLinePoints(bytes,
 			"calm", line(func(r scaleRow) float64 { return r.calm }),
-			"while settling", line(func(r scaleRow) float64 { return r.busy }))
+			"while settling", line(func(r scaleRow) float64 { return r.busy }),
+			"budget of gossip and pages", line(func(scaleRow) float64 { return float64(Defaults().BudgetBytesS) }))
 	}
 	for _, p := range []*plot.Plot{settle, bytes} {
-		p.Legend.Top, p.Y.Min = true, 0
+		p.Legend.Top, p.Legend.Left, p.Y.Min = true, true, 0
 	}
-	bytes.Y.Max = max(bytes.Y.Max, float64(Defaults().BudgetBytesS)*1.1)
+	bytes.Y.Max = float64(Defaults().BudgetBytesS) * 1.25
 	for _, ext := range []string{"svg", "png"} {
 		if err != nil {
 			break
