Let membership's probes go beside the byte budget instead of spending it

Cause: at a 100 ms period the probes' own bytes cost about the whole 8,000 bytes a second, so refutations waited behind the budget and running members were taken for dead (gossip.go, send).

Change: a probe packet's own bytes are not charged; gossip and pages are.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -42,8 +42,12 @@
 }
 
 // send puts a packet out. A packet of the probe (protocol true) goes even when
-// the budget is spent, bare; gossip rides on it only within the budget and
-// the packet's size, least-sent rumors first.
+// the budget is spent, bare, and its own bytes are not charged: the budget is
+// for gossip and pages, beside a bounded number of probe packets a period.
+// Charged, the probes of a short period spent it and refutations waited: at
+// 100 ms and 20% loss, 936 false deaths over 200 seeds of 12 members, 24 so.
+// Gossip rides on a packet only within the budget and the packet's size,
+// least-sent rumors first.
 func (n *Node) send(to string, m Message, now int64, protocol bool) {
 	n.fill(now)
 	m.From = n.self.Name
@@ -52,8 +56,12 @@
 		n.stats.HeldBack++
 		return
 	}
+	free := 0 // bytes not charged: a probe's own
+	if protocol {
+		free = size
+	}
 	if m.Kind != Sync && m.Kind != SyncReply && len(n.queue.items) > 0 {
-		room := min(n.cfg.MaxPacket-size, int(n.tokens)-size)
+		room := min(n.cfg.MaxPacket-size, int(n.tokens)-size+free)
 		slices.SortStableFunc(n.queue.items, func(a, b broadcast) int { return a.sent - b.sent })
 		limit := n.limit()
 		for i := range n.queue.items {
@@ -67,7 +75,7 @@
 		}
 		n.queue.items = slices.DeleteFunc(n.queue.items, func(b broadcast) bool { return b.sent >= limit })
 	}
-	n.tokens -= float64(size)
+	n.tokens -= float64(size - free)
 	n.stats.PacketsOut++
 	n.stats.BytesOut += uint64(size)
 	n.out.Packets = append(n.out.Packets, Packet{To: to, Msg: m})
--- a/internal/membership/scale_test.go
+++ b/internal/membership/scale_test.go
@@ -19,7 +19,7 @@
 // TestSettleAgainstFleetSize measures, in the in-memory network, the time to
 // settle after all join through one seed and after a tenth is killed, and the
 // bytes a member sends a second, for 3, 30 and 300 members (1,000 as well
-// with LOTUSBEND_LARGE=1: about 11 minutes, most of it the join). Each must settle within bound(p)
+// with LOTUSBEND_LARGE=1: about 5 minutes, most of it the join). Each must settle within bound(p)
 // after the kill and send within its byte budget plus its probes. The table
 // is in docs/membership.md; with LOTUSBEND_FIGURES=DIR the plot is written
 // there as membership-scale.svg and .png.
--- a/internal/membership/settle_test.go
+++ b/internal/membership/settle_test.go
@@ -220,3 +220,22 @@
 		t.Fatalf("%d members held, %d dropped; want 50 and 450", len(n.members), n.stats.Dropped)
 	}
 }
+
+// At a short period the probes alone cost about the byte budget; charged to
+// it, they left refutations waiting and members were taken for dead while
+// they ran (84 over these 20 seeds). Uncharged, 2: the rest is chance at 20%
+// loss (a refutation lost to an accuser until its shrunk suspicion ends).
+func TestAShortPeriodStillRefutesAtAFifthLost(t *testing.T) {
+	total := 0
+	for seed := range uint64(20) {
+		w := newNet(t, seed, 12, 2)
+		w.quiet = true
+		w.cfg.PeriodMs, w.cfg.ProbeTimeoutMs, w.loss = 100, 40, 0.2
+		w.start()
+		w.run(30_000)
+		total += w.falseDead
+	}
+	if total > 5 {
+		t.Errorf("%d members taken for dead over 20 seeds at a 100 ms period", total)
+	}
+}
