Take the connection's lock where the test of a slow peer reads what waits

The race detector failed this test in one run of the checks: the test read Conn.out (netio_test.go) while flush, in its own goroutine, emptied it.

--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -36,8 +36,11 @@
 	for ; sent <= 2*maxUnsent; sent += 1 << 17 {
 		c.Send(make([]byte, 1<<17), func(err error) { done <- err })
 	}
-	if len(c.out) > maxUnsent {
-		t.Errorf("%d bytes wait", len(c.out))
+	c.mu.Lock() // flush, in its own goroutine, writes it
+	waiting := len(c.out)
+	c.mu.Unlock()
+	if waiting > maxUnsent {
+		t.Errorf("%d bytes wait", waiting)
 	}
 	<-s.closed // too much is unsent
 	for range sent >> 17 {
