Repeat a refutation to each accuser, and carry payloads between members

Cause: a member refuted to the first accuser only, in one ping (node.go, aboutSelf): a second accuser's word, at an incarnation already refuted, was passed over, and one lost packet left an accuser whose confirmed suspicion ended in a death while the member ran. Ruled out: the byte budget, which no longer pays for probes.

Change: whoever says that a member is gone hears its refutation at once and in one ping a period, 4 in all, 16 accusers at a time. Members also carry opaque payloads for state on top of the view (Node.Carry, kind Carried), only from a member's own address, within the byte budget and leaving half a second of it to gossip and pages.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -41,6 +41,41 @@
 	}
 }
 
+// Carry sends a payload to a member of the view, for those who share state on
+// top of it, within the byte budget; half of a second's budget is left to
+// gossip and pages, which the view itself needs. It reports whether the
+// payload went.
+func (n *Node) Carry(to string, payload []byte, now int64) (Ready, bool) {
+	n.fill(now)
+	e, m := n.members[to], Message{Kind: Carried, Payload: payload}
+	if e == nil || e.State > Suspect || n.leaving {
+		return n.take(), false
+	}
+	if m.From = n.self.Name; m.size() > n.cfg.MaxPacket || n.tokens-float64(m.size()) < float64(n.cfg.BudgetBytesS)/2 {
+		n.stats.HeldBack++
+		return n.take(), false
+	}
+	n.send(e.Addr, m, now, false)
+	return n.take(), true
+}
+
+// Peers are the names of the members alive or suspect, this one not among
+// them, and Size how many members there may be: this one and all that did not
+// leave, the dead too, who may be cut off.
+func (n *Node) Peers() (names []string, size int) {
+	size = 1
+	for _, name := range n.names {
+		switch n.members[name].State {
+		case Alive, Suspect:
+			names = append(names, name)
+			size++
+		case Dead:
+			size++
+		}
+	}
+	return names, size
+}
+
 // send puts a packet out. A packet of the probe (protocol true) goes even when
 // the budget is spent, bare, and its own bytes are not charged: the budget is
 // for gossip and pages, beside a bounded number of probe packets a period.
@@ -60,7 +95,7 @@
 	if protocol {
 		free = size
 	}
-	if m.Kind != Sync && m.Kind != SyncReply && len(n.queue.items) > 0 {
+	if m.Kind != Sync && m.Kind != SyncReply && m.Kind != Carried && len(n.queue.items) > 0 {
 		room := min(n.cfg.MaxPacket-size, int(n.tokens)-size+free)
 		slices.SortStableFunc(n.queue.items, func(a, b broadcast) int { return a.sent - b.sent })
 		limit := n.limit()
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -11,6 +11,7 @@
 	Nack                      // I asked Target for you and heard nothing: my links work
 	Sync                      // a page of my view, after the name After
 	SyncReply                 // a page of mine for the same names
+	Carried                   // Payload, of those who share state on top of the view
 )
 
 // Message is one packet's content, whatever the codec. Rumors are the
@@ -23,13 +24,14 @@
 	TargetAddr string // PingReq: where the probed is
 	After      string // Sync: the page holds names after this one
 	Rumors     []Rumor
+	Payload    []byte // Carried: opaque to the rules
 }
 
 // messageOverhead bounds a message's bytes besides its strings and rumors.
 const messageOverhead = 40
 
 func (m *Message) size() int {
-	n := messageOverhead + len(m.From) + len(m.Target) + len(m.TargetAddr) + len(m.After)
+	n := messageOverhead + len(m.From) + len(m.Target) + len(m.TargetAddr) + len(m.After) + len(m.Payload)
 	for _, r := range m.Rumors {
 		n += r.size()
 	}
@@ -66,6 +68,10 @@
 type Ready struct {
 	Packets []Packet
 	Changes []Change
+	// State is the payload of a Carried packet that came from the member From,
+	// from its own address; nil for any other event.
+	State []byte
+	From  string
 }
 
 // PacketSize is the most bytes that m takes in a packet, as the rules reckon it.
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -30,6 +30,7 @@
 	seq   uint64
 	aware int // Lifeguard's local health multiplier, 0 to AwarenessMax
 	relay map[uint64]*relayed
+	tell  []accuser // who still has to hear our refutation
 
 	queue  broadcasts
 	tokens float64 // bytes that may still go out
@@ -117,6 +118,13 @@
 		n.replySync(from, m, now)
 	case SyncReply:
 		n.mergePage(m, now)
+	case Carried:
+		// Only a member of the view speaks, and only from its own address.
+		if e := n.members[m.From]; e != nil && e.Addr == from && e.State <= Suspect {
+			n.out.State, n.out.From = m.Payload, m.From
+		} else {
+			n.stats.Strangers++
+		}
 	default:
 		n.stats.Malformed++
 	}
@@ -219,17 +227,52 @@
 			n.yielded = true // the newer one keeps the name; we stop refuting
 		}
 	case n.leaving || n.yielded || n.cfg.Sabotage == "no-refute":
-	case r.State != Alive && r.Inc >= n.self.Inc:
-		n.self.Inc = r.Inc + 1
-		n.stats.Refuted++
-		n.queue.add(n.self)
-		n.doubt(+1) // Lifeguard: a member that others suspect may be the slow one
-		if e := n.members[r.By]; e != nil && e.State <= Suspect {
-			// The accuser hears the refutation at once, not by gossip's
-			// chance: in a split under loss, suspicions confirmed by
-			// members on the same side ended in deaths before it came.
+	case r.State != Alive:
+		if r.Inc >= n.self.Inc {
+			n.self.Inc = r.Inc + 1
+			n.stats.Refuted++
+			n.queue.add(n.self)
+			n.doubt(+1) // Lifeguard: a member that others suspect may be the slow one
+		}
+		n.answer(r.By, now)
+	}
+}
+
+// accuser is a member that said we were gone, and how many more pings carry
+// our refutation to it.
+type accuser struct {
+	name string
+	left int
+}
+
+const (
+	refuteTimes = 4  // pings with the refutation to one accuser: at 20% loss all lost once in 600
+	accusers    = 16 // told at a time at most; gossip reaches the others
+)
+
+// answer tells an accuser at once, and again on the next periods, that we are
+// alive: gossip's chance alone, or one packet that got lost, left accusers
+// whose confirmed suspicion ended in a death while we ran. It also answers
+// who repeats a suspicion that we have refuted already, as a second accuser
+// does. The refutations cost at most accusers bare probe packets a period.
+func (n *Node) answer(by string, now int64) {
+	if i := slices.IndexFunc(n.tell, func(a accuser) bool { return a.name == by }); i >= 0 || len(n.tell) >= accusers {
+		return
+	}
+	if e := n.members[by]; e != nil && e.State <= Suspect {
+		n.tell = append(n.tell, accuser{by, refuteTimes})
+		n.retell(len(n.tell)-1, now)
+	}
+}
+
+// retell sends our refutation to the accusers from the i-th on.
+func (n *Node) retell(i int, now int64) {
+	for ; i < len(n.tell); i++ {
+		a := &n.tell[i]
+		if e := n.members[a.name]; e != nil {
 			n.send(e.Addr, Message{Kind: Ping, Target: e.Name, Rumors: []Rumor{n.self}}, now, true)
 		}
+		a.left--
 	}
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -68,6 +68,8 @@
 // anew once used up, so each member is probed within 2n periods.
 func (n *Node) start(now int64) {
 	n.next = now + n.scale(n.cfg.PeriodMs)
+	n.tell = slices.DeleteFunc(n.tell, func(a accuser) bool { return a.left <= 0 })
+	n.retell(0, now)
 	for range 2 {
 		for n.pos < len(n.order) {
 			name := n.order[n.pos]
--- a/internal/membership/settle_test.go
+++ b/internal/membership/settle_test.go
@@ -239,3 +239,37 @@
 		t.Errorf("%d members taken for dead over 20 seeds at a 100 ms period", total)
 	}
 }
+
+// A second accuser, whose word comes when the first was refuted already, and
+// one whose first refutation got lost, hear it again: each accuser within
+// refuteTimes pings, and no more than accusers at a time.
+func TestEachAccuserHearsTheRefutationAgain(t *testing.T) {
+	cfg := Defaults()
+	cfg.Name, cfg.Addr, cfg.Start = "me", "127.0.0.1:1", 1
+	n := New(cfg, 0)
+	for _, name := range []string{"a", "b"} {
+		n.Receive(name, Message{Kind: Ack, From: name, Rumors: []Rumor{{Name: name, Addr: "at " + name, Start: 1}}}, 0)
+	}
+	told := map[string]int{}
+	count := func(r Ready) {
+		for _, p := range r.Packets {
+			for _, x := range p.Msg.Rumors {
+				if p.Msg.Kind == Ping && x.Name == "me" && x.Inc == 1 {
+					told[p.To]++
+				}
+			}
+		}
+	}
+	for _, by := range []string{"a", "b", "a"} {
+		count(n.Receive(by, Message{Kind: Ack, From: by, Rumors: []Rumor{{Name: "me", Addr: cfg.Addr, Start: 1, State: Suspect, By: by}}}, 0))
+	}
+	for now := int64(0); now < 30*cfg.PeriodMs; now += 20 {
+		count(n.Tick(now))
+	}
+	if n.self.Inc != 1 || told["at a"] < refuteTimes || told["at b"] < refuteTimes {
+		t.Fatalf("incarnation %d, told %v; want 1 and at least %d each", n.self.Inc, told, refuteTimes)
+	}
+	if len(n.tell) > 0 {
+		t.Errorf("%d accusers are still told", len(n.tell))
+	}
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -9,6 +9,7 @@
 	Misdirected                     uint64 // pings for another name at our address
 	Stale                           uint64 // rumors older than what we hold
 	Dropped                         uint64 // relays beyond the bound
+	Strangers                       uint64 // state packets of no member, or from another address
 	HeldBack                        uint64 // gossip or pages the budget did not allow
 	Suspected                       uint64 // probes that failed, by us
 	Declared                        uint64 // suspicions of ours that became deaths
