Let routers share state on top of the fleet view: leases, counters, judgements

Change: internal/fleetstate, rules without I/O: shares lent with an end and a skew, grow-only counters by router and life, claims on hosts weighed by what was seen here and by each peer's record. Its CBOR codec with a fuzz target, its link to membership's packets and the router's loop, the settings section shared, /fleet on the admin page, metrics, and lotusbend fleet. The module hears of it through decide.Fleet (five questions); without one it acts alone.

--- a/cmd/lotusbend/fleet.go
+++ b/cmd/lotusbend/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
@@ -12,6 +13,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lotusbend/internal/clock"
+	"lotusbend/internal/config"
+	"lotusbend/internal/fleetstate"
+	"lotusbend/internal/fleetstate/link"
 	"lotusbend/internal/membership"
 	"lotusbend/internal/membership/udp"
 	"lotusbend/internal/options"
@@ -21,34 +25,84 @@
 // membership section (nil: off, and nothing of it runs). The admin page, if
 // named, serves the view and the counters. Errors end the start: settings
 // that do not check, an address that cannot be bound.
-func startMembership(ctx context.Context, router string, seed uint64, m *options.Membership, log *slog.Logger) (*udp.Transport, error) {
+// The state that routers share rides on it where the file has that section.
+func startMembership(ctx context.Context, c *config.Config, opt *options.Options, log *slog.Logger) (*fleet, error) {
+	m := opt.Membership
 	if m == nil {
 		return nil, nil
 	}
+	f := &fleet{}
 	clk := clock.System()
 	cfg := membership.Defaults()
-	cfg.Name, cfg.Addr, cfg.Zone = cmp.Or(m.Name, router), cmp.Or(m.Advertise, m.Bind), m.Zone
+	cfg.Name, cfg.Addr, cfg.Zone = cmp.Or(m.Name, c.Name), cmp.Or(m.Advertise, m.Bind), m.Zone
 	cfg.Start = int64(clk.Now())
-	cfg.Seed = seed ^ xxhash.Sum64String(cfg.Name) ^ uint64(cfg.Start)
+	cfg.Seed = c.Seed ^ xxhash.Sum64String(cfg.Name) ^ uint64(cfg.Start)
 	cfg.PeriodMs, cfg.ProbeTimeoutMs = m.PeriodMs, max(1, m.PeriodMs*2/5)
 	cfg.SuspicionMult, cfg.BudgetBytesS, cfg.Sabotage = m.SuspicionMult, m.BudgetBytesS, m.Sabotage
-	t, err := udp.Start(ctx, cfg, m.Bind, m.Seeds, clk, log)
-	if err != nil {
+	var shared udp.Shared // a nil *link.Link in it would not be nil
+	if opt.Shared != nil {
+		rules := opt.Shared.Rules
+		rules.Name, rules.Start, rules.Seed = cfg.Name, cfg.Start, cfg.Seed
+		l, err := link.New(rules, c.Settings.Config.Routers, cfg.Start, log)
+		if err != nil {
+			return nil, err
+		}
+		f.link, shared = l, l
+	}
+	var err error
+	if f.view, err = udp.Start(ctx, cfg, m.Bind, m.Seeds, shared, clk, log); err != nil {
 		return nil, fmt.Errorf("membership: %w", err)
 	}
-	log.Info("membership: joining", "name", cfg.Name, "bind", t.Addr(), "seeds", m.Seeds)
+	log.Info("membership: joining", "name", cfg.Name, "bind", f.view.Addr(), "seeds", m.Seeds, "shared", f.link != nil)
 	if m.Admin == "" {
-		return t, nil
+		return f, nil
 	}
 	ln, err := net.Listen("tcp4", m.Admin)
 	if err != nil {
 		return nil, fmt.Errorf("membership: admin page: %w", err)
 	}
-	srv := &http.Server{Handler: t.Handler(), ReadHeaderTimeout: 2 * time.Second, WriteTimeout: 2 * time.Second}
+	srv := &http.Server{Handler: f.handler(c), ReadHeaderTimeout: 2 * time.Second, WriteTimeout: 2 * time.Second}
 	go func() { _ = srv.Serve(ln) }()
 	go func() {
 		<-ctx.Done()
 		_ = srv.Close()
 	}()
-	return t, nil
+	return f, nil
+}
+
+// fleet is a router's part in the fleet: the view, and the shared state, nil
+// where it is off.
+type fleet struct {
+	view *udp.Transport
+	link *link.Link
+}
+
+// fleetPage is what GET /fleet tells.
+type fleetPage struct {
+	View    membership.View
+	Shared  *fleetstate.Page `json:",omitempty"`
+	Classes []string
+}
+
+func (f *fleet) handler(c *config.Config) http.Handler {
+	var classes []string
+	for _, cl := range c.Settings.Config.Classes {
+		classes = append(classes, cl.Name)
+	}
+	mux := http.NewServeMux()
+	if f.link == nil {
+		mux.Handle("/", f.view.Handler())
+	} else {
+		mux.Handle("/", f.view.Handler(func() map[string]uint64 { return f.link.Metrics(classes) }))
+	}
+	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, _ *http.Request) {
+		p := fleetPage{View: f.view.View(), Classes: classes}
+		if f.link != nil {
+			shared := f.link.Page()
+			p.Shared = &shared
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(p)
+	})
+	return mux
 }
--- a/cmd/lotusbend/main.go
+++ b/cmd/lotusbend/main.go
@@ -32,6 +32,7 @@
 	Serve       serveCmd       `cmd:"" help:"Serve clients until SIGTERM, as GW_CONFIG says."`
 	Version     versionCmd     `cmd:"" help:"Print the version."`
 	CheckConfig checkConfigCmd `cmd:"" help:"Check the configuration that GW_CONFIG names, and end."`
+	Fleet       fleetCmd       `cmd:"" help:"Print a router's view of the fleet and what the fleet carried."`
 }
 
 func main() {
@@ -123,13 +124,11 @@
 	if err != nil {
 		return err
 	}
-	fleet, err := startMembership(ctx, c.Name, c.Seed, opt.Membership, log)
+	f, err := startMembership(ctx, c, opt, log)
 	if err != nil {
 		return err
 	}
-	if fleet != nil {
-		go n.seen(ctx, fleet.Sizes())
-	}
+	n.join(ctx, f)
 	go loop.Run(context.Background())
 	go func() {
 		for range again {
@@ -143,8 +142,9 @@
 				log.Error("the new settings file is not taken", "error", err)
 			} else {
 				level.Set(fresh.Level)
-				if fresh.JSON != opt.JSON || !reflect.DeepEqual(fresh.Edge, opt.Edge) || !reflect.DeepEqual(fresh.Membership, opt.Membership) {
-					log.Warn("a new form of the log, edge or membership takes effect at the next start")
+				if fresh.JSON != opt.JSON || !reflect.DeepEqual(fresh.Edge, opt.Edge) || !reflect.DeepEqual(fresh.Membership, opt.Membership) ||
+					!reflect.DeepEqual(fresh.Shared, opt.Shared) {
+					log.Warn("a new form of the log, edge, membership or shared state takes effect at the next start")
 				}
 			}
 		}
--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -13,6 +13,7 @@
 	"lotusbend/internal/discovery"
 	"lotusbend/internal/discovery/pace"
 	"lotusbend/internal/edge"
+	"lotusbend/internal/fleetstate"
 	"lotusbend/internal/netio"
 	"lotusbend/internal/options"
 	"lotusbend/internal/postgres/back"
@@ -41,9 +42,10 @@
 	router  *router.Router
 	pool    *back.Pool
 	server  *front.Server
-	edge    *edge.Edge     // nil where it is off
-	config  *config.Config // in force
-	watches []*watch       // under way, the newest last
+	edge    *edge.Edge        // nil where it is off
+	config  *config.Config    // in force
+	watches []*watch          // under way, the newest last
+	names   map[uint32]string // of hosts, by the module's numbers; nil without shared state
 }
 
 // newNode puts a router together; it listens, and takes clients once run.
@@ -122,16 +124,64 @@
 	})
 }
 
-// seen passes the fleet view's counts to the module until ctx ends.
-func (n *node) seen(ctx context.Context, sizes <-chan int) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case k := <-sizes:
-			n.loop.Do(func() { n.router.Seen(k) })
+// observeEvery is how often, in milliseconds, what the router saw is told to
+// the shared state.
+const observeEvery = 100
+
+// join has the module hear of the fleet until ctx ends: the view's count of
+// routers, and with shared state the advice drawn from what peers say.
+func (n *node) join(ctx context.Context, f *fleet) {
+	if f == nil {
+		return
+	}
+	guide := &fleetstate.Guide{} // owned by the loop
+	n.loop.Do(func() {
+		n.router.Join(guide)
+		if f.link != nil {
+			n.router.Share()
+			n.names = map[uint32]string{}
+		}
+	})
+	if f.link == nil {
+		go func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case k := <-f.view.Sizes():
+					n.loop.Do(func() { guide.Count(k) })
+				}
+			}
+		}()
+		return
+	}
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case a := <-f.link.Advice():
+				n.loop.Do(func() { guide.Set(a, n.number, int64(n.loop.Now())) })
+			}
+		}
+	}()
+	go func() {
+		for ctx.Err() == nil {
+			<-n.loop.After(observeEvery)
+			n.loop.Do(func() { f.link.Offer(n.router.Seen(func(id uint32) string { return n.names[id] })) })
+		}
+	}()
+}
+
+// number is a host's number by its name. Names are few, and looked up only
+// where advice is on some host.
+func (n *node) number(name string) (uint32, bool) {
+	for id, s := range n.names {
+		if s == name {
+			return id, true
 		}
 	}
+	return 0, false
 }
 
 // news passes a list on.
@@ -148,6 +198,12 @@
 	members := make([]decide.Member, len(list.Hosts))
 	for i, h := range list.Hosts {
 		n.pool.SetHost(h.ID, h.Address, h.State == decide.Ready)
+		if n.names != nil {
+			n.names[h.ID] = h.Name
+			if h.State == decide.Gone {
+				delete(n.names, h.ID)
+			}
+		}
 		members[i] = h.Member
 	}
 	return members
--- a/decide/api.go
+++ b/decide/api.go
@@ -197,3 +197,77 @@
 	Watch()                  // subscribe to the list
 	SetTimer(after time.Duration, token uint32)
 }
+
+// Fleet is what a router's peers let it do: a rules value beside the module
+// (internal/fleetstate), asked where the module decides. It can only make the
+// module more careful, but for shares that other routers gave up. Without one
+// the module acts alone, as if each method gave back what it was given.
+type Fleet interface {
+	// Routers is how many there may be, 0 if that is not known. Fewer than
+	// Config.Routers change nothing.
+	Routers() int
+	// Cold returns the rate, in requests a second of a warm member, that a
+	// cold member may be sent from here: own is this router's by itself, one
+	// its stake in a member that bears one request at a time.
+	Cold(member uint32, own, one float64, now time.Duration) float64
+	// Repeats returns the repeats a second that this router has beside its
+	// own earnings, below 0 where it gave some up.
+	Repeats(now time.Duration) float64
+	// Last tells that a member goes last among those fresh enough, and that
+	// one with an open breaker is not tried yet.
+	Last(member uint32, now time.Duration) bool
+	// Leads tells that a group that seeks its primary asks this member next.
+	Leads(member uint32, now time.Duration) bool
+}
+
+// alone is the Fleet of a router without peers.
+type alone struct{}
+
+func (alone) Routers() int                                           { return 0 }
+func (alone) Cold(_ uint32, own, _ float64, _ time.Duration) float64 { return own }
+func (alone) Repeats(time.Duration) float64                          { return 0 }
+func (alone) Last(uint32, time.Duration) bool                        { return false }
+func (alone) Leads(uint32, time.Duration) bool                       { return false }
+
+// MemberView is what the module knows of a member at one moment, for whoever
+// shares it with other routers. Taking it decides nothing.
+type MemberView struct {
+	ID      uint32
+	Group   int
+	Ready   bool
+	Primary bool          // as believed
+	LeadsAt time.Duration // when it last said itself that it is, 0 if it did not
+	Open    bool          // its breaker
+	Failing bool          // it could not be reached, or failed more than once in a row
+	Latency time.Duration // smoothed; the router's where it was never heard
+	Usual   time.Duration // the router's, over all members
+	Lag     time.Duration // as last told, 0 for none
+	LagAt   time.Duration // when
+	Cold    bool
+	Needed  bool // requests of its group are held
+	Seeking bool // its group has no primary that answers
+}
+
+// View tells f of every member listed, in the order in which they were first
+// listed.
+func (r *Router) View(now time.Duration, f func(MemberView)) {
+	for _, m := range r.order {
+		if m.State == Gone {
+			continue
+		}
+		v := MemberView{
+			ID: m.ID, Group: m.Group, Ready: m.State == Ready, Primary: m == m.g.primary,
+			Open: m.open, Failing: m.unreached || m.fails >= unreachable,
+			Latency: r.latencyOf(m), Usual: r.latency, Lag: m.lag, LagAt: m.lagAt,
+			Cold: r.warmth(m, now) < 1, Needed: len(m.g.held) > 0, Seeking: r.seeking(m.g),
+		}
+		if m.role == RolePrimary {
+			v.LeadsAt = m.roleAt
+		}
+		f(v)
+	}
+}
+
+// Retries are the repeats saved, the most that are, and what part of one a
+// first try earns.
+func (r *Router) Retries() (saved, most, earned float64) { return r.budget, retryBurst, retryShare }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -145,7 +145,7 @@
 	admit                  float64       // share of reads let in
 	primaryAim             time.Duration // the tightest aim of the classes that only a primary serves
 	spill                  float64       // share of reads that may fall to a primary
-	share                  float64       // of the fleet's load that comes here
+	fleet                  Fleet         // what peers let this router do
 }
 
 // New returns a router that acts through act. Equal configs, seeds and events give equal actions.
@@ -158,7 +158,7 @@
 		cfg: cfg, act: act, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		members: map[uint32]*member{}, groups: map[int]*group{}, requests: map[uint64]*request{},
 		budget: retryBurst, latency: firstLatency, askWait: watchRetry, spill: 1, admit: 1,
-		primaryAim: math.MaxInt64, share: 1 / float64(max(cfg.Routers, 1)),
+		primaryAim: math.MaxInt64, fleet: alone{},
 	}
 	r.cfg.Classes = slices.Clone(cfg.Classes)
 	r.usual, r.votes = make([]time.Duration, len(cfg.Classes)), make([]int, len(cfg.Classes))
@@ -198,6 +198,7 @@
 	for _, m := range r.order {
 		r.lookAt(m, now)
 	}
+	r.budget = max(-retryBurst, min(r.budget+r.fleet.Repeats(now)*beat.Seconds(), retryBurst))
 	// A way back for both shares also where nothing is sent that could raise them.
 	r.admit = min(1, r.admit+admitGain*beat.Seconds())
 	r.spill = min(1, r.spill+spillGain*beat.Seconds())
@@ -209,11 +210,8 @@
 	}
 }
 
-// Seen is the fleet view's count of routers alive or suspect, this one included. More than Config.Routers
-// shrink this router's share of a cold member's allowance; fewer never raise it: only leases prove fewer.
-func (r *Router) Seen(now time.Duration, routers int) {
-	r.share = 1 / float64(max(r.cfg.Routers, routers, 1))
-}
+// Join tells from whom to hear what the router's peers let it do; before that it acts alone.
+func (r *Router) Join(f Fleet) { r.fleet = f }
 
 // Arrived takes a client's request.
 func (r *Router) Arrived(now time.Duration, in Request) {
@@ -715,7 +713,7 @@
 				!r.hasRoom(m, 1, now) {
 				continue
 			}
-			t := tier(m, now)
+			t := r.tier(m, now)
 			if t < best {
 				best, r.scratch = t, r.scratch[:0]
 			}
@@ -738,9 +736,9 @@
 	return p
 }
 
-func tier(m *member, now time.Duration) int {
+func (r *Router) tier(m *member, now time.Duration) int {
 	t := 0
-	if now < m.busyUntil {
+	if now < m.busyUntil || r.fleet.Last(m.ID, now) {
 		t = 2
 	}
 	if !m.local {
@@ -768,7 +766,7 @@
 // usable tells whether m may be sent q: listed ready, breaker shut or trial due, not just tried by q.
 func (r *Router) usable(q *request, m *member, now time.Duration) bool {
 	if m.State != Ready || now < m.restUntil || !r.maySend(q, m, now) ||
-		(m.open && (q.class.Repeat != Pure || now < m.trialAt)) {
+		(m.open && (q.class.Repeat != Pure || now < m.trialAt || r.fleet.Last(m.ID, now))) {
 		return false
 	}
 	return !slices.ContainsFunc(q.attempts, func(a attempt) bool {
@@ -838,8 +836,9 @@
 	var to *member
 	for _, m := range g.members {
 		late := m.open && now < m.trialAt+m.trialWait
-		if m.State == Ready && !late && now >= m.restUntil && r.hasRoom(m, 1, now) && (to == nil ||
-			m.scoutedAt < to.scoutedAt || (m.scoutedAt == to.scoutedAt && m.pos > to.pos)) {
+		if m.State == Ready && !late && now >= m.restUntil && r.hasRoom(m, 1, now) &&
+			(to == nil || r.fleet.Leads(m.ID, now) || !r.fleet.Leads(to.ID, now) &&
+				(m.scoutedAt < to.scoutedAt || (m.scoutedAt == to.scoutedAt && m.pos > to.pos))) {
 			to = m
 		}
 	}
@@ -873,7 +872,8 @@
 func (r *Router) hasRoom(m *member, share float64, now time.Duration) bool {
 	w := r.warmth(m, now)
 	if m.cold {
-		rate := max(r.peak, r.share/r.latency.Seconds()) * w * r.cfg.OverloadFactor * coldShare
+		one := 1 / float64(max(r.cfg.Routers, r.fleet.Routers(), 1)) / r.latency.Seconds()
+		rate := r.fleet.Cold(m.ID, max(r.peak, one), one, now) * w * r.cfg.OverloadFactor * coldShare
 		m.allowance = min(coldSaved, m.allowance+rate*(now-m.refilledAt).Seconds())
 		m.refilledAt = now
 		if m.allowance < 1 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1175,6 +1175,15 @@
 	}
 }
 
+// counted is a Fleet that only counts routers.
+type counted int
+
+func (n counted) Routers() int                                         { return int(n) }
+func (counted) Cold(_ uint32, own, _ float64, _ time.Duration) float64 { return own }
+func (counted) Repeats(time.Duration) float64                          { return 0 }
+func (counted) Last(uint32, time.Duration) bool                        { return false }
+func (counted) Leads(uint32, time.Duration) bool                       { return false }
+
 // coldFleet plays many routers, each with its own seed and traffic, of which
 // one member starts anew; it returns the most that all sent it within the
 // time that the rule counts over, as a share of what the rule allows then.
@@ -1188,7 +1197,7 @@
 		rigs[i] = newRig(t, cfg, members)
 		rigs[i].r.rng = rand.New(rand.NewPCG(uint64(i), 7))
 		for _, n := range seen { // the fleet view's counts, in order
-			rigs[i].r.Seen(rigs[i].now, n)
+			rigs[i].r.Join(counted(n))
 		}
 	}
 	rng := rand.New(rand.NewPCG(3, 4))
--- /dev/null
+++ b/internal/fleetstate/link/link.go
@@ -0,0 +1,169 @@
+// Package link carries the shared state between its rules and the two loops
+// that it stands between: membership's, whose packets bring peers' messages,
+// and the router's, which sees hosts and acts on advice. The rules' Node is
+// owned by membership's loop; what crosses to the router's is copied and never
+// waited for.
+package link
+
+import (
+	"log/slog"
+	"sync"
+	"sync/atomic"
+
+	"lotusbend/internal/fleetstate"
+	"lotusbend/internal/fleetstate/wire"
+	"lotusbend/internal/membership/udp"
+)
+
+// adviseMs is how often advice is given anew where nothing happened.
+const adviseMs = 100
+
+// Link implements udp.Shared.
+type Link struct {
+	node    *fleetstate.Node
+	codec   *wire.Codec
+	log     *slog.Logger
+	advice  chan fleetstate.Advice
+	advised int64
+
+	mu      sync.Mutex
+	pending fleetstate.Seen
+	fresh   bool
+	page    fleetstate.Page
+
+	Malformed, Sent, Received, Bytes atomic.Uint64
+}
+
+// New makes a link from checked settings; fleet is the configured number of
+// routers, now the time in milliseconds.
+func New(cfg fleetstate.Config, fleet int, now int64, log *slog.Logger) (*Link, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	codec, err := wire.New()
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{node: fleetstate.New(cfg, fleet, now), codec: codec, log: log, advice: make(chan fleetstate.Advice, 1)}
+	l.page = l.node.Page(now)
+	return l, nil
+}
+
+// Offer takes what the router saw; what was not yet taken of an earlier one is
+// added up.
+func (l *Link) Offer(s fleetstate.Seen) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, v := range l.pending.Carried {
+		if len(s.Carried) <= i {
+			s.Carried = append(s.Carried, make(fleetstate.Cells, i+1-len(s.Carried))...)
+		}
+		s.Carried[i] += v
+	}
+	l.pending, l.fresh = s, true
+}
+
+// Advice tells what the router may act on; only the latest waits.
+func (l *Link) Advice() <-chan fleetstate.Advice { return l.advice }
+
+// Page is the state for people, a copy.
+func (l *Link) Page() fleetstate.Page {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.page
+}
+
+// Fleet implements udp.Shared.
+func (l *Link) Fleet(peers []string, size int, now int64) { l.node.Fleet(peers, size, now) }
+
+// Tick implements udp.Shared.
+func (l *Link) Tick(now int64) []udp.Payload {
+	l.mu.Lock()
+	s, fresh := l.pending, l.fresh
+	l.pending, l.fresh = fleetstate.Seen{}, false
+	l.mu.Unlock()
+	if fresh {
+		l.node.Observe(s)
+	}
+	r := l.node.Tick(now)
+	if len(r.Events) > 0 || now-l.advised >= adviseMs {
+		l.advise(now)
+	}
+	return l.carry(r)
+}
+
+// Receive implements udp.Shared: bytes that no router sends are counted.
+func (l *Link) Receive(from string, payload []byte, now int64) []udp.Payload {
+	m, err := l.codec.Decode(payload)
+	if err != nil {
+		l.Malformed.Add(1)
+		return nil
+	}
+	l.Received.Add(1)
+	r := l.node.Receive(from, m, now)
+	if len(r.Events) > 0 {
+		l.advise(now)
+	}
+	return l.carry(r)
+}
+
+func (l *Link) advise(now int64) {
+	l.advised = now
+	a, p := l.node.Advice(now), l.node.Page(now)
+	l.mu.Lock()
+	l.page = p
+	l.mu.Unlock()
+	select { // an older one not yet taken is stale
+	case <-l.advice:
+	default:
+	}
+	l.advice <- a // cannot block: this loop is the only sender
+}
+
+func (l *Link) carry(r fleetstate.Ready) (out []udp.Payload) {
+	for _, e := range r.Events {
+		key := e.Key
+		if key == fleetstate.RepeatsKey {
+			key = "repeats"
+		}
+		attrs := []any{"of", key, "amount", e.Amount}
+		if e.Peer != "" {
+			attrs = append(attrs, "peer", e.Peer)
+		}
+		if e.Claim != 0 {
+			attrs = append(attrs, "claim", e.Claim.String())
+		}
+		if e.Why != "" {
+			attrs = append(attrs, "why", e.Why)
+		}
+		l.log.Info("shared state: "+e.Kind.String(), attrs...)
+	}
+	for _, m := range r.Messages {
+		b, err := l.codec.Encode(m.Msg)
+		if err != nil {
+			l.log.Error("shared state: a message that cannot be encoded", "error", err)
+			continue
+		}
+		l.Sent.Add(1)
+		l.Bytes.Add(uint64(len(b)))
+		out = append(out, udp.Payload{To: m.To, Bytes: b})
+	}
+	return out
+}
+
+// Metrics are the link's counters and the fleet's totals, by name.
+func (l *Link) Metrics(classes []string) map[string]uint64 {
+	p := l.Page()
+	m := map[string]uint64{
+		"shared_messages_sent": l.Sent.Load(), "shared_messages_received": l.Received.Load(), "shared_bytes_sent": l.Bytes.Load(),
+		"shared_messages_malformed": l.Malformed.Load(), "shared_strangers": p.Dropped, "shared_counters_refused": p.Refused,
+		"shared_routers_counted": uint64(p.Counted), "shared_judgements": uint64(len(p.Judged)), "shared_size": uint64(p.Routers),
+		"shared_leases_lent": uint64(len(p.Lent)), "shared_leases_held": uint64(len(p.Held)),
+	}
+	for i, c := range classes {
+		for k, name := range fleetstate.KindNames() {
+			m["fleet_"+name+"_"+c] = p.Totals.Get(i, fleetstate.Kind(k))
+		}
+	}
+	return m
+}
--- a/internal/membership/udp/admin.go
+++ b/internal/membership/udp/admin.go
@@ -10,8 +10,8 @@
 
 // Handler serves the admin page: GET /membership is the view as JSON (the
 // shape of membership.View), GET /metrics the counters as plain lines of
-// "name value".
-func (t *Transport) Handler() http.Handler {
+// "name value", with those of more beside its own.
+func (t *Transport) Handler(more ...func() map[string]uint64) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /membership", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
@@ -26,11 +26,14 @@
 			"membership_bytes_out": st.BytesOut, "membership_stale": st.Stale, "membership_misdirected": st.Misdirected,
 			"membership_relays_dropped": st.Dropped, "membership_held_back": st.HeldBack, "membership_suspected": st.Suspected,
 			"membership_declared_dead": st.Declared, "membership_refuted": st.Refuted, "membership_conflicts": st.Conflicts,
-			"membership_rumors_malformed": st.Malformed,
+			"membership_rumors_malformed": st.Malformed, "membership_strangers": st.Strangers,
 		}
 		for k, n := range t.Dropped() {
 			lines["membership_dropped_"+k] = n
 		}
+		for _, f := range more {
+			maps.Copy(lines, f())
+		}
 		for _, k := range slices.Sorted(maps.Keys(lines)) {
 			fmt.Fprintf(w, "%s %d\n", k, lines[k])
 		}
--- a/internal/membership/udp/udp.go
+++ b/internal/membership/udp/udp.go
@@ -56,6 +56,24 @@
 	view  membership.View
 	sizes chan int // the latest count of members alive or suspect, if not yet taken
 	size  int      // the count last offered; owned by run
+
+	shared Shared // nil for none; owned by run
+	known  uint64 // the view's version that shared was told
+}
+
+// Shared is state that routers share on top of the view. Its methods are
+// called by the transport's goroutine alone and must not wait.
+type Shared interface {
+	// Fleet tells the names of the peers, and how many routers there may be.
+	Fleet(peers []string, size int, now int64)
+	Tick(now int64) []Payload
+	Receive(from string, payload []byte, now int64) []Payload
+}
+
+// Payload is what Shared sends to a peer.
+type Payload struct {
+	To    string
+	Bytes []byte
 }
 
 type datagram struct {
@@ -65,9 +83,10 @@
 
 // Start binds bind ("" for cfg.Addr; port 0 for any, then told by Addr) and
 // joins through seeds; it runs until ctx ends, then leaves. cfg.Addr is what
-// the others are told, which may be a relay's in front of bind. Errors: the
-// settings do not check, the address cannot be bound.
-func Start(ctx context.Context, cfg membership.Config, bind string, seeds []string, clk *clock.Clock, log *slog.Logger) (*Transport, error) {
+// the others are told, which may be a relay's in front of bind. shared, nil
+// for none, rides on its packets within its byte budget. Errors: the settings
+// do not check, the address cannot be bound.
+func Start(ctx context.Context, cfg membership.Config, bind string, seeds []string, shared Shared, clk *clock.Clock, log *slog.Logger) (*Transport, error) {
 	advertised := bind != "" && bind != cfg.Addr
 	ap, err := netip.ParseAddrPort(cmp.Or(bind, cfg.Addr))
 	if err != nil {
@@ -90,7 +109,7 @@
 	}
 	now := int64(clk.Now())
 	t := &Transport{conn: conn, clk: clk, log: log, codec: codec, node: membership.New(cfg, now),
-		seeds: seeds, in: make(chan datagram, queued), sizes: make(chan int, 1)}
+		seeds: seeds, in: make(chan datagram, queued), sizes: make(chan int, 1), shared: shared}
 	t.view = t.node.View()
 	go t.read()
 	go t.run(ctx)
@@ -168,13 +187,42 @@
 				t.counters.Malformed.Add(1)
 				continue
 			}
-			t.carry(t.node.Receive(d.from.String(), m, int64(t.clk.Now())), false)
+			now := int64(t.clk.Now())
+			r := t.node.Receive(d.from.String(), m, now)
+			t.carry(r, false)
+			if r.State != nil && t.shared != nil {
+				t.payloads(t.shared.Receive(r.From, r.State, now), now)
+			}
 		case <-tick.C:
-			t.carry(t.node.Tick(int64(t.clk.Now())), true)
+			now := int64(t.clk.Now())
+			t.carry(t.node.Tick(now), true)
+			t.share(now)
 		}
 	}
 }
 
+// share ticks the state on top of the view.
+func (t *Transport) share(now int64) {
+	if t.shared == nil {
+		return
+	}
+	if v := t.view.Version; v != t.known || v == 0 { // only run writes t.view
+		t.known = v
+		peers, size := t.node.Peers()
+		t.shared.Fleet(peers, size, now)
+	}
+	t.payloads(t.shared.Tick(now), now)
+}
+
+// payloads sends what the byte budget allows; the rest is lost, as any
+// datagram may be.
+func (t *Transport) payloads(ps []Payload, now int64) {
+	for _, p := range ps {
+		r, _ := t.node.Carry(p.To, p.Bytes, now)
+		t.carry(r, false)
+	}
+}
+
 // leave tells the fleet and ticks on a little so that the rumor travels.
 func (t *Transport) leave() {
 	t.carry(t.node.Leave(int64(t.clk.Now())), true)
--- a/internal/membership/udp/udp_test.go
+++ b/internal/membership/udp/udp_test.go
@@ -28,7 +28,7 @@
 		if i > 0 {
 			seeds = []string{ts[0].Addr()}
 		}
-		tr, err := Start(ctx, cfg, "", seeds, clock.System(), quiet)
+		tr, err := Start(ctx, cfg, "", seeds, nil, clock.System(), quiet)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -24,6 +24,8 @@
 	// Membership is nil where the fleet's view is off: then the router acts
 	// as it did before there was one.
 	Membership *Membership
+	// Shared is nil where routers share no state; it needs Membership.
+	Shared *Shared
 }
 
 // Edge switches the edge for devices on.
@@ -74,7 +76,7 @@
 		return nil, err
 	}
 	o := &Options{}
-	t.object([]string{"log", "edge", "membership"}, func(name string, v *tree) {
+	t.object([]string{"log", "edge", "membership", "shared"}, func(name string, v *tree) {
 		switch name {
 		case "log":
 			o.log(v)
@@ -83,8 +85,13 @@
 		case "membership":
 			d := rules.Defaults()
 			o.Membership = membership(v, d.PeriodMs, d.SuspicionMult, d.BudgetBytesS)
+		case "shared":
+			o.Shared = shared(v)
 		}
 	})
+	if t.file.err == nil && o.Shared != nil && o.Membership == nil {
+		t.fail("shared needs membership")
+	}
 	if t.file.err != nil {
 		return nil, t.file.err
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -92,6 +92,9 @@
 	at   float64
 	end  *clock.Deadline // if it comes before the request's
 	out  bool
+	// begun is false where the attempt was called off and surely not a byte
+	// of it had left.
+	begun bool
 }
 
 type request struct {
@@ -114,7 +117,9 @@
 	module   *decide.Router
 	hosts    Hosts
 	requests slots.Table[request]
-	open     int // requests without their final answer
+	open     int           // requests without their final answer
+	seen     *Watch        // nil where nothing is shared with other routers
+	bound    time.Duration // the oldest data that any bounded class takes
 }
 
 // New returns a router that lives in loop.
@@ -131,6 +136,7 @@
 func (r *Router) Start(hosts Hosts, known []decide.Member) {
 	r.hosts = hosts
 	r.module.Start(r.now())
+	r.seen.listed(known)
 	r.module.Listed(r.now(), decide.ListCached, known)
 }
 
@@ -165,14 +171,12 @@
 
 // Listed takes news of the list of database hosts.
 func (r *Router) Listed(kind decide.ListKind, members []decide.Member) {
+	r.seen.listed(members)
 	r.module.Listed(r.now(), kind, members)
 }
 
-// Seen takes the fleet view's count of routers alive or suspect; the module
-// uses it only where it counts more than the settings' FleetSize.
-func (r *Router) Seen(routers int) {
-	r.module.Seen(r.now(), routers)
-}
+// Join tells the module of its peers; without that it acts alone.
+func (r *Router) Join(f decide.Fleet) { r.module.Join(f) }
 
 // Submit takes a request. Its answer goes to from, which may name it by the
 // returned reference until then.
@@ -182,6 +186,7 @@
 	ref := r.requests.Add(q)
 	q.id = ref.ID()
 	r.open++
+	r.seen.arrived(req.Class)
 	q.end = r.loop.At(q.deadline, func() { r.expire(ref) })
 	var since time.Duration
 	if req.After > 0 {
@@ -233,6 +238,7 @@
 	at.out = false
 	r.loop.Cancel(at.end)
 	q.out--
+	r.seen.ended(q.Class, at, rep.Outcome, r.loop.Now())
 	if rep.Outcome == decide.OK {
 		r.answer(q, Answer{Verdict: Served, Row: rep.Row})
 	}
@@ -245,7 +251,8 @@
 // cancel gives an attempt up. One that still waited for its connection never
 // ran, whatever ended the wait.
 func (r *Router) cancel(q *request, n int, o decide.Outcome) decide.Outcome {
-	if !r.hosts.Cancel(q.attempts[n].sent) && o == decide.TimedOut {
+	q.attempts[n].begun = r.hosts.Cancel(q.attempts[n].sent)
+	if !q.attempts[n].begun && o == decide.TimedOut {
 		return decide.ConnectFailed
 	}
 	return o
@@ -283,6 +290,9 @@
 	}
 	q.done = true
 	r.open--
+	if a.Verdict == Refused {
+		r.seen.refused(q.Class)
+	}
 	q.from.Answer(q.client, a)
 }
 
@@ -311,8 +321,9 @@
 		wait = min(wait, clock.Millis(timeout))
 	}
 	tag := Attempt{ref, n}
-	q.attempts = append(q.attempts, attempt{host: host, at: now, out: true})
+	q.attempts = append(q.attempts, attempt{host: host, at: now, out: true, begun: true})
 	q.out++
+	r.seen.sent(q.Class, n, host, now)
 	if q.done || wait <= 0 || (r.cfg.MaxAttempts > 0 && n >= r.cfg.MaxAttempts) {
 		r.loop.Post(func() { r.Ended(tag, Report{Outcome: decide.Moot}) })
 		return
@@ -340,7 +351,7 @@
 	if q == nil || n >= len(q.attempts) || !q.attempts[n].out {
 		return
 	}
-	r.hosts.Cancel(q.attempts[n].sent)
+	q.attempts[n].begun = r.hosts.Cancel(q.attempts[n].sent)
 	r.loop.Post(func() { r.Ended(Attempt{ref, n}, Report{Outcome: decide.Cancelled}) })
 }
 
