--- /dev/null
+++ b/internal/fleetstate/counts_test.go
@@ -0,0 +1,193 @@
+package fleetstate
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func newCounter(name string, epoch int64) *Counts {
+	cfg := Defaults()
+	cfg.Name, cfg.Start = name, epoch
+	return newCounts(cfg, epoch)
+}
+
+// exchange tells every counter's whole knowledge to every other, twice, in
+// an order and number drawn from pick.
+func exchange(cs []*Counts, now int64, order []int) {
+	for range 2 {
+		for _, i := range order {
+			for _, j := range order {
+				if i != j {
+					for _, e := range cs[i].page(1 << 20) {
+						cs[j].merge(e, now)
+					}
+					cs[j].heardAt = now
+				}
+			}
+		}
+	}
+}
+
+// TestTotalsAreExactAfterAnyOrder holds for any order of counting, telling in
+// part, doubles, losses and restarts: nobody ever counts more than was
+// carried; after all can be heard again every total is the same, and without
+// restarts exactly what was carried; a restart loses only what it told nobody.
+func TestTotalsAreExactAfterAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 5).Draw(t, "routers")
+		now := int64(1000)
+		cs := make([]*Counts, n)
+		for i := range cs {
+			cs[i] = newCounter(fmt.Sprint("r", i), int64(i))
+		}
+		type told struct {
+			to int
+			e  Entry
+		}
+		var wire []told
+		carried, ended, restarts, known := uint64(0), uint64(0), 0, 0
+		sum := func(c *Counts) (s uint64) {
+			for _, v := range c.Total() {
+				s += v
+			}
+			return s
+		}
+		last, was := make([]uint64, n), slices.Clone(cs)
+		for step := range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now += 100
+			i := rapid.IntRange(0, n-1).Draw(t, "router")
+			switch ev := rapid.IntRange(0, 9).Draw(t, fmt.Sprint("event", step)); {
+			case ev < 4:
+				var cells Cells
+				k := uint64(rapid.IntRange(1, 9).Draw(t, "much"))
+				cells.Add(rapid.IntRange(0, 2).Draw(t, "class"), Kind(rapid.IntRange(0, int(kinds)-1).Draw(t, "kind")), k)
+				cs[i].carried(cells)
+				carried += k
+			case ev < 6:
+				cs[i].tick(now)
+				for _, e := range cs[i].page(rapid.IntRange(0, 400).Draw(t, "room")) {
+					wire = append(wire, told{rapid.IntRange(0, n-1).Draw(t, "to"), e})
+				}
+			case ev < 9 && len(wire) > 0:
+				k := rapid.IntRange(0, len(wire)-1).Draw(t, "which")
+				cs[wire[k].to].merge(wire[k].e, now)
+				if rapid.Bool().Draw(t, "once") {
+					wire = slices.Delete(wire, k, k+1)
+				}
+			case ev == 9: // a restart: what nobody else holds of its last life is lost
+				restarts++
+				dies := cs[i].own
+				for _, v := range dies.Cells {
+					ended += v
+				}
+				for _, c := range cs {
+					if k, ok := c.find(dies.Name, dies.Epoch); ok && slices.Equal(c.entries[k].Cells, dies.Cells) {
+						known++
+						break
+					}
+				}
+				cs[i] = newCounter(dies.Name, now)
+			}
+			for k, c := range cs {
+				s := sum(c)
+				if s > carried {
+					t.Fatalf("%s totals %d of %d carried", c.own.Name, s, carried)
+				}
+				if s < last[k] && c == was[k] { // an old copy must not undo a newer one
+					t.Fatalf("%s totals %d after %d", c.own.Name, s, last[k])
+				}
+				last[k], was[k] = s, c
+			}
+		}
+		exchange(cs, now, rapid.Permutation([]int{0, 1, 2, 3, 4}[:n]).Draw(t, "order"))
+		first := sum(cs[0])
+		for _, c := range cs {
+			if !slices.Equal(c.Total(), cs[0].Total()) {
+				t.Fatalf("after the heal %s totals %v, %s %v", c.own.Name, c.Total(), cs[0].own.Name, cs[0].Total())
+			}
+		}
+		if restarts == 0 && first != carried {
+			t.Fatalf("totals are %d, carried %d, and nobody restarted", first, carried)
+		}
+		if restarts == 1 && known == 1 && first != carried {
+			t.Fatalf("totals are %d, carried %d; the one that restarted had told all", first, carried)
+		}
+		if first < carried-ended {
+			t.Fatalf("totals are %d, and %d was carried by lives that go on", first, carried-ended)
+		}
+	})
+}
+
+// A merge by addition counts doubles twice: the same search would find it.
+func TestMergeBySumIsFound(t *testing.T) {
+	cfg := Defaults()
+	cfg.Name, cfg.Sabotage = "a", "counts-by-sum"
+	a, b := newCounts(cfg, 0), newCounter("b", 0)
+	var cells Cells
+	cells.Add(0, Requests, 5)
+	b.carried(cells)
+	for range 2 {
+		a.merge(b.page(1000)[0], 10)
+	}
+	if a.Total().Get(0, Requests) == 5 {
+		t.Error("a double is not counted twice: the sabotage does nothing")
+	}
+}
+
+// The counters of routers that went are folded into one total, and copies of
+// them that come later change nothing: memory is bounded by who lives.
+func TestRoutersGoneAreFoldedOnce(t *testing.T) {
+	a := newCounter("a", 0)
+	var old []Entry
+	for i := range 100 {
+		c := newCounter(fmt.Sprint("gone", i), int64(i))
+		var cells Cells
+		cells.Add(1, Refusals, 3)
+		c.carried(cells)
+		c.tick(int64(1000 + i))
+		old = append(old, c.page(1000)...)
+	}
+	for _, e := range old {
+		a.merge(e, 2000)
+	}
+	a.heardAt = 1100 + a.cfg.FoldMs
+	a.tick(1100 + a.cfg.FoldMs)
+	if len(a.entries) != 0 || a.Total().Get(1, Refusals) != 300 {
+		t.Fatalf("%d entries kept, total %d; want 0 and 300", len(a.entries), a.Total().Get(1, Refusals))
+	}
+	for _, e := range old {
+		a.merge(e, 1200+a.cfg.FoldMs)
+	}
+	if got := a.Total().Get(1, Refusals); got != 300 || a.Refused != 100 {
+		t.Errorf("after late copies the total is %d, %d refused; want 300 and 100", got, a.Refused)
+	}
+}
+
+// A router cut off for longer than others wait before folding it comes back
+// in a new epoch: what they folded is never counted again.
+func TestALongCutNeverCountsTwice(t *testing.T) {
+	a, b := newCounter("a", 0), newCounter("b", 0)
+	var one Cells
+	one.Add(0, Requests, 1)
+	now := int64(0)
+	carried := uint64(0)
+	for ; now < 3*a.cfg.FoldMs; now += 10_000 {
+		b.carried(one)
+		carried++
+		a.tick(now)
+		b.tick(now)
+		if now < 60_000 || now > 2*a.cfg.FoldMs {
+			exchange([]*Counts{a, b}, now, []int{0, 1})
+		}
+	}
+	got := a.Total().Get(0, Requests)
+	if got > carried {
+		t.Fatalf("a totals %d of %d that b carried", got, carried)
+	}
+	if got < carried/2 {
+		t.Errorf("a totals %d of %d: what was carried after the heal and before the cut must be there", got, carried)
+	}
+}
--- a/internal/fleetstate/lease.go
+++ b/internal/fleetstate/lease.go
@@ -30,6 +30,7 @@
 type loan struct {
 	peer   string
 	id     uint64
+	at     int64 // the borrower's time when it asked: with id, one ask of one of its lives
 	amount float64
 	ends   int64 // by this router's clock, the skew included where it lent
 }
@@ -127,7 +128,7 @@
 // ask again gets the same grant, and no second share.
 func (l *Leases) grant(peer string, a Ask, stake float64, needed bool, now int64) (Grant, bool) {
 	for _, o := range l.lent[a.Key] {
-		if o.peer == peer && o.id == a.ID && now < o.ends {
+		if o.peer == peer && o.id == a.ID && o.at == a.At && now < o.ends {
 			return Grant{a.Key, a.ID, o.amount, a.At, l.cfg.LeaseMs}, true
 		}
 	}
@@ -138,7 +139,7 @@
 	if amount < stake/100 {
 		return Grant{}, false
 	}
-	l.lent[a.Key] = append(l.lent[a.Key], loan{peer, a.ID, amount, now + l.cfg.LeaseMs + l.cfg.SkewMs})
+	l.lent[a.Key] = append(l.lent[a.Key], loan{peer, a.ID, a.At, amount, now + l.cfg.LeaseMs + l.cfg.SkewMs})
 	return Grant{a.Key, a.ID, amount, a.At, l.cfg.LeaseMs}, true
 }
 
@@ -151,7 +152,7 @@
 		return loan{}, false
 	}
 	delete(l.asked, k)
-	h := loan{peer, g.ID, min(g.Amount, a.Want), a.At + min(g.ForMs, l.cfg.LeaseMs)}
+	h := loan{peer, g.ID, a.At, min(g.Amount, a.Want), a.At + min(g.ForMs, l.cfg.LeaseMs)}
 	if now >= h.ends || sum(l.held[g.Key], now)+h.amount > l.cfg.HeldMost*stake {
 		return loan{}, false
 	}
