--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -161,7 +161,8 @@
 			case <-ctx.Done():
 				return
 			case a := <-f.link.Advice():
-				n.loop.Do(func() { guide.Set(a, n.number, int64(n.loop.Now())) })
+				n.loop.Do(func() { guide.Set(a.Advice, n.number, int64(n.loop.Now())) })
+				f.link.Applied(a.Seq)
 			}
 		}
 	}()
--- a/internal/fleetstate/link/link.go
+++ b/internal/fleetstate/link/link.go
@@ -15,16 +15,37 @@
 	"lotusbend/internal/membership/udp"
 )
 
-// adviseMs is how often advice is given anew where nothing happened.
-const adviseMs = 100
+const (
+	// adviseMs is how often advice is given anew where nothing happened.
+	adviseMs = 100
+	// heldMost bounds the grants that wait for the router; past it they are
+	// lost, as any datagram may be.
+	heldMost = 256
+)
+
+// Advice is the rules' advice with its number, to be told back by Applied.
+type Advice struct {
+	fleetstate.Advice
+	Seq uint64
+}
+
+// grant waits until the router acts on what the lender has left: sent sooner,
+// both could spend the share, for as long as this process is paused between.
+type grant struct {
+	seq uint64
+	udp.Payload
+}
 
 // Link implements udp.Shared.
 type Link struct {
 	node    *fleetstate.Node
 	codec   *wire.Codec
 	log     *slog.Logger
-	advice  chan fleetstate.Advice
+	advice  chan Advice
 	advised int64
+	seq     uint64 // of the last advice
+	applied atomic.Uint64
+	grants  []grant
 
 	mu      sync.Mutex
 	pending fleetstate.Seen
@@ -44,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{node: fleetstate.New(cfg, fleet, now), codec: codec, log: log, advice: make(chan fleetstate.Advice, 1)}
+	l := &Link{node: fleetstate.New(cfg, fleet, now), codec: codec, log: log, advice: make(chan Advice, 1)}
 	l.page = l.node.Page(now)
 	return l, nil
 }
@@ -64,7 +85,11 @@
 }
 
 // Advice tells what the router may act on; only the latest waits.
-func (l *Link) Advice() <-chan fleetstate.Advice { return l.advice }
+func (l *Link) Advice() <-chan Advice { return l.advice }
+
+// Applied tells that the router acts on the advice of this number. Grants of
+// shares that it gave up by it may leave now.
+func (l *Link) Applied(seq uint64) { l.applied.Store(seq) }
 
 // Page is the state for people, a copy.
 func (l *Link) Page() fleetstate.Page {
@@ -89,7 +114,12 @@
 	if len(r.Events) > 0 || now-l.advised >= adviseMs {
 		l.advise(now)
 	}
-	return l.carry(r)
+	out := l.carry(r)
+	for len(l.grants) > 0 && l.grants[0].seq <= l.applied.Load() {
+		out = append(out, l.grants[0].Payload)
+		l.grants = l.grants[1:]
+	}
+	return out
 }
 
 // Receive implements udp.Shared: bytes that no router sends are counted.
@@ -104,7 +134,12 @@
 	if len(r.Events) > 0 {
 		l.advise(now)
 	}
-	return l.carry(r)
+	for _, p := range l.carry(r) { // all that answers a message is a grant
+		if len(l.grants) < heldMost {
+			l.grants = append(l.grants, grant{l.seq, p})
+		}
+	}
+	return nil
 }
 
 func (l *Link) advise(now int64) {
@@ -117,7 +152,8 @@
 	case <-l.advice:
 	default:
 	}
-	l.advice <- a // cannot block: this loop is the only sender
+	l.seq++
+	l.advice <- Advice{a, l.seq} // cannot block: this loop is the only sender
 }
 
 func (l *Link) carry(r fleetstate.Ready) (out []udp.Payload) {
--- /dev/null
+++ b/internal/fleetstate/link/link_test.go
@@ -0,0 +1,83 @@
+package link
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+
+	"lotusbend/internal/fleetstate"
+	"lotusbend/internal/fleetstate/wire"
+)
+
+// A grant leaves only once the router acts on what the lender has left, and
+// bytes that no router sends are counted and change nothing.
+func TestAGrantWaitsForTheRouter(t *testing.T) {
+	cfg := fleetstate.Defaults()
+	cfg.Name = "lender"
+	l, err := New(cfg, 2, 0, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := cfg.LeaseMs + cfg.SkewMs
+	l.Fleet([]string{"peer"}, 2, now)
+	l.Offer(fleetstate.Seen{Hosts: []fleetstate.Host{{Name: "h", Ready: true, Cold: true}}})
+	l.Tick(now)
+	before := (<-l.Advice()).Shares["h"].At(now)
+	codec, err := wire.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask, err := codec.Encode(fleetstate.Message{Asks: []fleetstate.Ask{{Key: "h", ID: 1, Want: 1, At: 5}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if out := l.Receive("peer", ask, now); len(out) > 0 {
+		t.Fatal("the grant left before the router could know")
+	}
+	grants := func() (n int) {
+		for _, p := range l.Tick(now) {
+			if m, err := codec.Decode(p.Bytes); err == nil {
+				n += len(m.Grants)
+			}
+		}
+		return n
+	}
+	if n := grants(); n > 0 {
+		t.Fatal("the grant left before the router acted on the advice")
+	}
+	a := <-l.Advice()
+	if got := a.Shares["h"].At(now); got >= before {
+		t.Fatalf("the lender is advised %.2f after lending, %.2f before", got, before)
+	}
+	l.Applied(a.Seq)
+	if n := grants(); n != 1 {
+		t.Fatalf("%d grants left once the router acts on its smaller share, want 1", n)
+	}
+	for _, b := range [][]byte{nil, {0xff}, make([]byte, 2000)} {
+		l.Receive("peer", b, now)
+	}
+	if l.Malformed.Load() != 3 {
+		t.Errorf("%d malformed messages counted, want 3", l.Malformed.Load())
+	}
+}
+
+// What the router carried is told once, though it is offered more often than
+// it is taken.
+func TestWhatWasCarriedIsTakenOnce(t *testing.T) {
+	cfg := fleetstate.Defaults()
+	cfg.Name = "me"
+	l, err := New(cfg, 1, 0, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		var c fleetstate.Cells
+		c.Add(1, fleetstate.Requests, 2)
+		l.Offer(fleetstate.Seen{Carried: c})
+	}
+	l.Tick(1000)
+	l.Tick(2000)
+	if got := l.Page().Totals.Get(1, fleetstate.Requests); got != 6 {
+		t.Errorf("the total is %d, want 6", got)
+	}
+}
