--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -126,7 +126,7 @@
 
 // observeEvery is how often, in milliseconds, what the router saw is told to
 // the shared state.
-const observeEvery = 100
+const observeEvery = 50
 
 // join has the module hear of the fleet until ctx ends: the view's count of
 // routers, and with shared state the advice drawn from what peers say.
--- a/internal/fleetstate/config.go
+++ b/internal/fleetstate/config.go
@@ -24,7 +24,7 @@
 	FoldMs     int64 // counters of a router unheard for this long join one total
 	MaxEntries int   // counters of routers and restarts kept apart
 
-	ClaimMs   int64   // a claim counts this long after the evidence it tells of
+	ClaimMs   int64   // a claim counts this long after the evidence it tells of, at most: drawn from half of it on
 	HintMs    int64   // a judgement lasts this long unless renewed
 	HearsayMs int64   // hearsay alone, before this router must have tried the host itself
 	ShareMost float64 // of a group's members that hearsay may pass over at once
@@ -37,7 +37,8 @@
 	// "no-lease-wait" (a lender goes on using what it lent), "trust-one" (one
 	// claim is enough, whatever was seen here), "counts-by-sum" (merge by
 	// addition) or "never-expire" (leases and claims do not end). "liar"
-	// makes this router claim that every host hangs. Empty in service.
+	// makes this router claim that every host hangs, "liar-well" that every one
+	// is well. Empty in service.
 	Sabotage string
 }
 
@@ -46,7 +47,7 @@
 	return Config{
 		TickMs: 200, CountsMs: 1000, LeaseMs: 3000, SkewMs: 2000, Lendable: 0.5, HeldMost: 3, Lenders: 3,
 		FoldMs: 600_000, MaxEntries: 4096,
-		ClaimMs: 2000, HintMs: 500, HearsayMs: 2000, ShareMost: 0.5, Support: 1.5, FanOut: 6,
+		ClaimMs: 10_000, HintMs: 500, HearsayMs: 20_000, ShareMost: 0.5, Support: 1.5, FanOut: 8,
 		MaxBytes: 1200,
 	}
 }
@@ -72,7 +73,7 @@
 		return fmt.Errorf("shared state: %d bytes a message, want 400 or more", c.MaxBytes)
 	}
 	switch c.Sabotage {
-	case "", "no-lease-wait", "trust-one", "counts-by-sum", "never-expire", "liar":
+	case "", "no-lease-wait", "trust-one", "counts-by-sum", "never-expire", "liar", "liar-well":
 		return nil
 	}
 	return fmt.Errorf("shared state: sabotage %q is not known", c.Sabotage)
--- a/internal/fleetstate/judge.go
+++ b/internal/fleetstate/judge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 )
 
@@ -57,7 +58,8 @@
 type witness struct {
 	peer string
 	kind ClaimKind
-	at   int64 // of the evidence, on this router's clock
+	at   int64 // of the newest evidence, on this router's clock
+	from int64 // of the oldest, where it was renewed ever since
 	was  int64 // Host.GoodAt when the claim came
 	read bool  // its truth has been settled against what was seen here
 }
@@ -68,14 +70,17 @@
 	taken     bool
 	until     int64  // of the judgement in force
 	alone     int64  // since when hearsay alone passes it over, 0 for not
+	claimMs   int64  // how long a claim on it counts here: drawn
 	refused   string // why the last judgement was not taken
 }
 
 // Judge weighs what peers say of hosts.
 type Judge struct {
 	cfg      Config
+	rng      *rand.Rand
 	hosts    []Host // as last observed, by name
 	doubts   map[string]*doubt
+	told     map[string]bool    // hosts that this router told its own doubts of
 	standing map[string]float64 // of peers whose claims proved wrong: 1 is whole
 	steadied int64
 	events   []Event
@@ -90,7 +95,7 @@
 )
 
 func newJudge(cfg Config, now int64) *Judge {
-	return &Judge{cfg: cfg, doubts: map[string]*doubt{}, standing: map[string]float64{}, steadied: now}
+	return &Judge{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0x1d9e)), doubts: map[string]*doubt{}, told: map[string]bool{}, standing: map[string]float64{}, steadied: now}
 }
 
 func (j *Judge) host(name string) *Host {
@@ -100,6 +105,16 @@
 	return nil
 }
 
+// urgent tells that this router has found a host bad that it did not tell of.
+func (j *Judge) urgent(now int64) bool {
+	for _, h := range j.hosts {
+		if h.Bad != 0 && now-h.BadAt < j.cfg.ClaimMs && !j.told[h.Name] {
+			return true
+		}
+	}
+	return false
+}
+
 // observe takes what this router knows; hosts no longer named are forgotten,
 // with all that was said of them.
 func (j *Judge) observe(hosts []Host) {
@@ -115,13 +130,19 @@
 // claims are what this router has to tell: each doubt of its own while its
 // evidence is fresh, that a host is well where others doubt it, and who leads.
 func (j *Judge) claims(now int64) (out []Claim) {
+	clear(j.told)
 	for _, h := range j.hosts {
-		if j.cfg.Sabotage == "liar" {
-			out = append(out, Claim{h.Name, Hangs, 0}) // in concert: every host hangs
+		switch j.cfg.Sabotage { // in concert: every host hangs, or every host is well
+		case "liar":
+			out = append(out, Claim{h.Name, Hangs, 0})
+			continue
+		case "liar-well":
+			out = append(out, Claim{h.Name, Well, 0})
 			continue
 		}
 		if h.Bad != 0 && now-h.BadAt < j.cfg.ClaimMs {
 			out = append(out, Claim{h.Name, h.Bad, max(0, now-h.BadAt)})
+			j.told[h.Name] = true
 		} else if d := j.doubts[h.Name]; d != nil && len(d.witnesses) > 0 && h.GoodAt > 0 && now-h.GoodAt < j.cfg.ClaimMs {
 			out = append(out, Claim{h.Name, Well, max(0, now-h.GoodAt)})
 		}
@@ -141,16 +162,21 @@
 	}
 	d := j.doubts[c.Host]
 	if d == nil {
-		d = &doubt{}
+		// Drawn, so that not all routers try a host again at one moment once
+		// nobody has new evidence: the first to try tells the others.
+		d = &doubt{claimMs: j.cfg.ClaimMs/2 + j.rng.Int64N(j.cfg.ClaimMs/2+1)}
 		j.doubts[c.Host] = d
 	}
-	w := witness{peer: peer, kind: c.Kind, at: now - c.AgeMs, was: h.GoodAt}
+	w := witness{peer: peer, kind: c.Kind, at: now - c.AgeMs, from: now - c.AgeMs, was: h.GoodAt}
 	i := slices.IndexFunc(d.witnesses, func(o witness) bool { return o.peer == peer && (o.kind == Leads) == (c.Kind == Leads) })
 	switch {
 	case i >= 0 && w.at <= d.witnesses[i].at: // an old one, doubled or reordered
 	case i >= 0:
-		if o := d.witnesses[i]; o.kind == w.kind && !o.read {
-			w.was = max(o.was, min(w.was, o.at)) // the same doubt goes on: what was seen before it began counts
+		if o := d.witnesses[i]; o.kind == w.kind {
+			w.from = o.from
+			if !o.read { // the same doubt goes on: what was seen before it began counts
+				w.was = max(o.was, min(w.was, o.at))
+			}
 		}
 		d.witnesses[i] = w
 	case len(d.witnesses) < maxWitnesses:
@@ -192,25 +218,40 @@
 	return false
 }
 
-// support adds up the standing of those who doubt h, less that of those whom
-// it answered later, and counts the doubters.
-func (j *Judge) support(d *doubt, h *Host, now int64) (sum float64, count int, kind ClaimKind, newest int64) {
+// support is the standing of those who doubt h, less that of those whom it
+// answered after the doubts began, for the moment of beginning that most is to
+// be said for: a host that hung just now has doubters since then and nobody
+// whom it answered later; one that is lied about has always been answering
+// others meanwhile. It also counts those doubters.
+func (j *Judge) support(d *doubt, h *Host, now int64) (most float64, count int, kind ClaimKind, newest int64) {
+	var valid []*witness
 	for i := range d.witnesses {
-		w := &d.witnesses[i]
-		if j.settle(w, h, now) || w.kind == Leads {
-			continue
+		if w := &d.witnesses[i]; !j.settle(w, h, now) && w.kind != Leads {
+			valid = append(valid, w)
 		}
-		if w.kind == Well {
-			sum -= j.trust(w.peer)
+	}
+	for _, began := range valid {
+		if began.kind == Well {
 			continue
 		}
-		sum += j.trust(w.peer)
-		count++
-		if w.at > newest {
-			newest, kind = w.at, w.kind
+		sum, n, k, at := 0.0, 0, ClaimKind(0), int64(0)
+		for _, w := range valid {
+			switch {
+			case w.kind == Well && w.at > began.from:
+				sum -= j.trust(w.peer)
+			case w.kind != Well && w.from >= began.from:
+				sum += j.trust(w.peer)
+				n++
+				if w.at > at {
+					k, at = w.kind, w.at
+				}
+			}
+		}
+		if count == 0 || sum > most {
+			most, count, kind, newest = sum, n, k, at
 		}
 	}
-	return sum, count, kind, newest
+	return most, count, kind, newest
 }
 
 // Judgement passes over a host for a while.
@@ -247,7 +288,7 @@
 		sum, count, kind, newest := j.support(d, h, now)
 		need, least := j.cfg.Support, 2
 		own := h.Bad != 0 && h.BadAt > h.GoodAt
-		if own || h.Waiting { // seen here as well: one more witness is enough
+		if own || h.Waiting || d.taken && now < d.until+j.cfg.HintMs { // seen here as well, or judged by more: one more witness is enough
 			need, least = 0.5, 1
 		}
 		if j.cfg.Sabotage == "trust-one" {
@@ -303,15 +344,26 @@
 				}
 			}
 		}
-		most := int(math.Floor(j.cfg.ShareMost * float64(ready)))
+		// Where more of a group is doubted than may be passed over, peers err
+		// or lie, and which of the doubts is true cannot be told from here:
+		// then only those that something seen here speaks for are taken.
+		most, alone := int(math.Floor(j.cfg.ShareMost*float64(ready))), 0
+		for _, c := range cs {
+			if !c.Own && !c.h.Waiting {
+				alone++
+			}
+		}
 		for _, c := range cs {
 			if !c.Own {
-				if j.cfg.Sabotage != "trust-one" && (most < 1 || sound < 2) {
+				if j.cfg.Sabotage != "trust-one" && (most < 1 || sound < 2 || !c.h.Waiting && alone > most) {
 					j.refuse(c.d, c.h, "too much of the group")
 					continue
 				}
 				most--
 				sound--
+				if !c.h.Waiting {
+					alone--
+				}
 			}
 			if !c.d.taken || c.d.until < now {
 				j.events = append(j.events, Event{Kind: JudgementTaken, Key: c.Host, Claim: c.Kind, Amount: c.Support})
@@ -365,7 +417,7 @@
 func (j *Judge) steady(now int64) {
 	if j.cfg.Sabotage != "never-expire" {
 		for name, d := range j.doubts {
-			d.witnesses = slices.DeleteFunc(d.witnesses, func(w witness) bool { return now-w.at >= j.cfg.ClaimMs })
+			d.witnesses = slices.DeleteFunc(d.witnesses, func(w witness) bool { return now-w.at >= d.claimMs })
 			if len(d.witnesses) == 0 && now >= d.until && (d.alone == 0 || now-d.alone >= 4*j.cfg.HearsayMs) {
 				delete(j.doubts, name)
 			}
--- a/internal/fleetstate/link/link.go
+++ b/internal/fleetstate/link/link.go
@@ -17,7 +17,7 @@
 
 const (
 	// adviseMs is how often advice is given anew where nothing happened.
-	adviseMs = 100
+	adviseMs = 50
 	// heldMost bounds the grants that wait for the router; past it they are
 	// lost, as any datagram may be.
 	heldMost = 256
--- a/internal/fleetstate/node.go
+++ b/internal/fleetstate/node.go
@@ -179,12 +179,11 @@
 func (n *Node) Tick(now int64) Ready {
 	var r Ready
 	r.Events = n.leases.expire(now)
-	if now >= n.next {
+	if now >= n.next || n.judge.urgent(now) { // what was just found is told at once
 		n.next = now + n.cfg.TickMs
 		n.counts.tick(now)
 		r.Messages = n.speak(now)
 	}
-	n.advise(now)
 	r.Events = append(r.Events, n.judge.events...)
 	n.judge.events = nil
 	return r
@@ -300,12 +299,14 @@
 	if len(answer.Grants) > 0 {
 		r.Messages = append(r.Messages, Out{peer, answer})
 	}
-	n.advise(now)
 	return r
 }
 
-// advise draws up what the router may act on.
-func (n *Node) advise(now int64) {
+// Advice is what holds at now, drawn up anew: judgements cost a look at every
+// host, so the caller asks for it at its own pace, and after each event that
+// changed a lease. A lease that has ended is not in it: a router that was
+// paused must ask again before it sends.
+func (n *Node) Advice(now int64) Advice {
 	a := Advice{Routers: n.size, Judged: n.judge.judge(now), Leaders: n.judge.leaders(), Shares: map[string]Share{}}
 	stake := 1 / float64(n.size)
 	for _, h := range n.judge.hosts {
@@ -316,13 +317,7 @@
 	a.Repeats = n.leases.Share(RepeatsKey, n.repeats.Earns, now)
 	a.Repeats.Own -= n.repeats.Earns
 	n.advice = a
-}
-
-// Advice is what holds at now. A lease that has ended since the last event is
-// not in it: a router that was paused must ask again before it sends.
-func (n *Node) Advice(now int64) Advice {
-	n.advise(now)
-	return n.advice
+	return a
 }
 
 // Totals adds up what the fleet carried, as far as this router has heard.
@@ -344,9 +339,9 @@
 	Dropped  uint64             // messages of strangers
 }
 
-// Page copies the node's state at now.
+// Page copies the node's state at now, with the last advice.
 func (n *Node) Page(now int64) Page {
-	a := n.Advice(now)
+	a := n.advice
 	p := Page{Routers: n.size, Shares: a.Shares, Stake: 1 / float64(n.size), Lent: map[string]float64{}, Held: map[string]float64{}, Repeats: a.Repeats,
 		Totals: n.Totals(), Counted: 1 + len(n.counts.entries), Judged: a.Judged, Standing: map[string]float64{}, Refused: n.counts.Refused, Dropped: n.Dropped}
 	for k, l := range n.leases.lent {
--- a/internal/options/shared.go
+++ b/internal/options/shared.go
@@ -30,7 +30,7 @@
 		"share_most": func(v *tree) { c.ShareMost = v.number(0, 0.9, false) },
 		"lendable":   func(v *tree) { c.Lendable = v.number(0, 0.9, false) },
 		"sabotage": func(v *tree) {
-			c.Sabotage = v.choice("no-lease-wait", "trust-one", "counts-by-sum", "never-expire", "liar")
+			c.Sabotage = v.choice("no-lease-wait", "trust-one", "counts-by-sum", "never-expire", "liar", "liar-well")
 		},
 	}
 	known := make([]string, 0, len(fields))
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -30,7 +30,7 @@
 }
 
 const (
-	silentAfter = 2.0  // latencies without an answer that tell of silence
+	silentAfter = 4.0  // latencies without an answer that tell of silence
 	slowTimes   = 4.0  // the usual latency, past which a host is told to be slow
 	rateOver    = 2000 // ms that the rate of first tries is smoothed over
 )
@@ -164,7 +164,7 @@
 	}
 	to.GoodAt, to.TriedAt, to.BadAt = int64(h.good), int64(h.tried), int64(h.bad)
 	switch {
-	case v.Open && h.bad > h.good:
+	case h.bad > h.good && !v.Failing:
 		to.Bad = fleetstate.Hangs
 	case v.Failing && h.bad > h.good:
 		to.Bad = fleetstate.Fails
