Drill the shared state among processes: cold host in a cut, pauses, kills, liars, skew

lotuslab drill shared starts routers as processes behind the fault relay and stand-in hosts that count what they receive.

Found by it: the page's kinds of claim could not be read back (the command lotusbend fleet would have failed); a liar's every claim was a log line; counters went round too slowly (now what changed last goes first); free UDP ports were handed to the relay.

--- a/cmd/lotusbend/fleet.go
+++ b/cmd/lotusbend/fleet.go
@@ -26,13 +26,16 @@
 // named, serves the view and the counters. Errors end the start: settings
 // that do not check, an address that cannot be bound.
 // The state that routers share rides on it where the file has that section.
-func startMembership(ctx context.Context, c *config.Config, opt *options.Options, log *slog.Logger) (*fleet, error) {
+func startMembership(ctx context.Context, c *config.Config, opt *options.Options, clk *clock.Clock, log *slog.Logger) (*fleet, error) {
 	m := opt.Membership
 	if m == nil {
 		return nil, nil
 	}
 	f := &fleet{}
-	clk := clock.System()
+	if opt.Shared != nil {
+		f.ahead = int64(opt.Shared.ClockOffsetMs)
+		clk = clk.Shifted(opt.Shared.ClockOffsetMs)
+	}
 	cfg := membership.Defaults()
 	cfg.Name, cfg.Addr, cfg.Zone = cmp.Or(m.Name, c.Name), cmp.Or(m.Advertise, m.Bind), m.Zone
 	cfg.Start = int64(clk.Now())
@@ -75,6 +78,9 @@
 type fleet struct {
 	view *udp.Transport
 	link *link.Link
+	// ahead is how far, in milliseconds, the fleet's clock is set ahead of the
+	// router's, in drills; 0 in service, where both are one.
+	ahead int64
 }
 
 // fleetPage is what GET /fleet tells.
--- a/cmd/lotusbend/main.go
+++ b/cmd/lotusbend/main.go
@@ -119,12 +119,13 @@
 	level.Set(opt.Level)
 	log := logger(os.Stderr, opt.JSON, &level).With("router", c.Name)
 	netpoll.SetLoggerOutput(debugLog{log}) // it has a line for each connection that a peer resets
-	loop := clock.NewLoop(clock.System())
+	clk := clock.System()
+	loop := clock.NewLoop(clk)
 	n, err := newNode(c, opt, loop, log)
 	if err != nil {
 		return err
 	}
-	f, err := startMembership(ctx, c, opt, log)
+	f, err := startMembership(ctx, c, opt, clk, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/lotusbend/main_test.go
+++ b/cmd/lotusbend/main_test.go
@@ -3,13 +3,20 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"log/slog"
+	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
+
+	"lotusbend/internal/fleetstate"
+	"lotusbend/internal/membership"
 )
 
 // asProgram in the environment makes the test's own binary the program.
@@ -122,3 +129,33 @@
 		t.Error(err)
 	}
 }
+
+// The page that a router serves is the one that the command reads and prints.
+func TestFleetPageReadsBack(t *testing.T) {
+	p := fleetPage{Classes: []string{"view"}, View: membership.View{Version: 3, Fleet: membership.Size{Low: 1, High: 2},
+		Members: []membership.Rumor{{Name: "a", Zone: "z", State: membership.Suspect, Start: 1}}}}
+	var totals fleetstate.Cells
+	totals.Add(0, fleetstate.Refusals, 7)
+	p.Shared = &fleetstate.Page{Routers: 4, Totals: totals, Shares: map[string]fleetstate.Share{"h1": {Own: 0.125, Held: 0.25, Until: math.MaxInt64}},
+		Judged: []fleetstate.Judgement{{Host: "h2", Kind: fleetstate.Hangs, Until: 1000, Support: 2}}, Standing: map[string]float64{"liar": 0.25}}
+	b, err := json.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got fleetPage
+	if err := json.Unmarshal(b, &got); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := got.print(&out, time.UnixMilli(5000)); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"1 to 2 routers", "suspect", "stake 1/4", "h1: own share 0.1250, held 0.2500", "h2: hangs", "liar: standing 0.25"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is not printed:\n%s", want, out.String())
+		}
+	}
+	if !regexp.MustCompile(`view +0 +7 +0 +0 +0`).MatchString(out.String()) {
+		t.Errorf("the totals are not printed:\n%s", out.String())
+	}
+}
--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -161,7 +161,7 @@
 			case <-ctx.Done():
 				return
 			case a := <-f.link.Advice():
-				n.loop.Do(func() { guide.Set(a.Advice, n.number, int64(n.loop.Now())) })
+				n.loop.Do(func() { guide.Set(a.Shifted(-f.ahead), n.number, int64(n.loop.Now())) })
 				f.link.Applied(a.Seq)
 			}
 		}
@@ -169,7 +169,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			<-n.loop.After(observeEvery)
-			n.loop.Do(func() { f.link.Offer(n.router.Seen(func(id uint32) string { return n.names[id] })) })
+			n.loop.Do(func() { f.link.Offer(n.router.Seen(func(id uint32) string { return n.names[id] }).Shifted(f.ahead)) })
 		}
 	}()
 }
--- a/cmd/lotuslab/main.go
+++ b/cmd/lotuslab/main.go
@@ -28,6 +28,7 @@
 	Drill struct {
 		Edge      edgeCmd      `cmd:"" help:"Devices on poor links: is every reading recorded exactly once?"`
 		Fleetview fleetviewCmd `cmd:"" help:"Routers' view of their fleet through kills, pauses, loss and cuts: does it settle?"`
+		Shared    sharedCmd    `cmd:"" help:"State that routers share, through cuts, pauses, kills and lies: is it within its bounds?"`
 	} `cmd:"" help:"Check a promise under troubles; the last line is one JSON object."`
 	Measure struct {
 		Edge measureCmd `cmd:"" help:"Latency beside the PostgreSQL front, and the memory of idle devices."`
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -14,6 +14,7 @@
 	started time.Time
 	base    float64
 	manual  *atomic.Uint64
+	offset  float64
 }
 
 // System returns the machine's clock: the wall time at this call, advanced by
@@ -33,12 +34,20 @@
 // Set puts a manual clock to at.
 func (c *Clock) Set(at float64) { c.manual.Store(math.Float64bits(at)) }
 
+// Shifted returns a clock that is always ms ahead of c, for drills of clocks
+// that disagree.
+func (c *Clock) Shifted(ms float64) *Clock {
+	d := *c
+	d.offset += ms
+	return &d
+}
+
 // Now returns the time in milliseconds.
 func (c *Clock) Now() float64 {
 	if c.manual != nil {
-		return math.Float64frombits(c.manual.Load())
+		return math.Float64frombits(c.manual.Load()) + c.offset
 	}
-	return c.base + float64(time.Since(c.started))/float64(time.Millisecond)
+	return c.offset + c.base + float64(time.Since(c.started))/float64(time.Millisecond)
 }
 
 // maxMs keeps times far from overflow: over a century of Unix time.
--- a/internal/fleetstate/config.go
+++ b/internal/fleetstate/config.go
@@ -34,7 +34,7 @@
 	MaxBytes int // of one message
 
 	// Sabotage takes a guard out, for drills that must see their check fail:
-	// "no-lease-wait" (a lender goes on using what it lent), "trust-one" (one
+	// "no-lease-wait" (a lender goes on using what it lent, and lends it again), "trust-one" (one
 	// claim is enough, whatever was seen here), "counts-by-sum" (merge by
 	// addition) or "never-expire" (leases and claims do not end). "liar"
 	// makes this router claim that every host hangs, "liar-well" that every one
@@ -45,7 +45,7 @@
 // Defaults are settings for routers a few milliseconds apart.
 func Defaults() Config {
 	return Config{
-		TickMs: 200, CountsMs: 1000, LeaseMs: 3000, SkewMs: 2000, Lendable: 0.5, HeldMost: 3, Lenders: 3,
+		TickMs: 200, CountsMs: 500, LeaseMs: 3000, SkewMs: 2000, Lendable: 0.5, HeldMost: 3, Lenders: 3,
 		FoldMs: 600_000, MaxEntries: 4096,
 		ClaimMs: 10_000, HintMs: 500, HearsayMs: 20_000, ShareMost: 0.5, Support: 1.5, FanOut: 8,
 		MaxBytes: 1200,
--- a/internal/fleetstate/counts.go
+++ b/internal/fleetstate/counts.go
@@ -49,17 +49,21 @@
 	(*c)[i] += n
 }
 
-// add adds another's cells; max takes the larger of each.
-func (c *Cells) add(o Cells) { c.each(o, func(a, b uint64) uint64 { return a + b }) }
-func (c *Cells) max(o Cells) { c.each(o, func(a, b uint64) uint64 { return max(a, b) }) }
+// add adds another's cells; max takes the larger of each. Both report whether
+// anything changed.
+func (c *Cells) add(o Cells) bool { return c.each(o, func(a, b uint64) uint64 { return a + b }) }
+func (c *Cells) max(o Cells) bool { return c.each(o, func(a, b uint64) uint64 { return max(a, b) }) }
 
-func (c *Cells) each(o Cells, f func(a, b uint64) uint64) {
+func (c *Cells) each(o Cells, f func(a, b uint64) uint64) (changed bool) {
 	for len(*c) < len(o) {
 		*c = append(*c, 0)
 	}
 	for i, v := range o {
-		(*c)[i] = f((*c)[i], v)
+		was := (*c)[i]
+		(*c)[i] = f(was, v)
+		changed = changed || (*c)[i] != was
 	}
+	return changed
 }
 
 // Entry is one router's counters in one of its lives: a grow-only counter
@@ -71,6 +75,7 @@
 	Epoch int64 // the instance's start, or later where it closed an epoch
 	Stamp int64 // the owner's time when it last told
 	Cells Cells
+	told  int // how often this router told it since it changed
 }
 
 // Counts are every router's counters as this router has heard them.
@@ -87,7 +92,6 @@
 	entries []Entry // of others and of earlier epochs, by name and epoch
 	folded  Cells
 	heardAt int64
-	cursor  int
 	Refused uint64 // entries not taken: too old, too many, malformed
 }
 
@@ -124,13 +128,15 @@
 	case found && c.cfg.Sabotage == "counts-by-sum":
 		c.entries[i].Cells.add(e.Cells)
 	case found:
-		c.entries[i].Cells.max(e.Cells)
+		if c.entries[i].Cells.max(e.Cells) {
+			c.entries[i].told = 0
+		}
 		c.entries[i].Stamp = max(c.entries[i].Stamp, min(e.Stamp, now+c.cfg.SkewMs))
 	case now-e.Stamp >= c.cfg.FoldMs || len(c.entries) >= c.cfg.MaxEntries:
 		c.Refused++ // folded here already, or more than can be held
 	default:
 		e.Stamp = min(e.Stamp, now+c.cfg.SkewMs) // a stamp far ahead would never fold
-		e.Cells = slices.Clone(e.Cells)
+		e.Cells, e.told = slices.Clone(e.Cells), 0
 		c.entries = slices.Insert(c.entries, i, e)
 	}
 }
@@ -157,21 +163,28 @@
 	})
 }
 
-// page returns the own entry and the next others that fit into room bytes.
+// page returns the own entry and the others that fit into room bytes, those
+// first that were told least often since they changed: news spreads as gossip
+// does, and what is old goes round again.
 func (c *Counts) page(room int) []Entry {
 	own := c.own
 	own.Cells = slices.Clone(own.Cells) // what is told must not move with what is counted next
 	out := []Entry{own}
-	room -= c.own.size()
-	for range c.entries {
-		c.cursor %= len(c.entries)
-		e := c.entries[c.cursor]
+	room -= own.size()
+	order := make([]int, len(c.entries))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(c.entries[a].told, c.entries[b].told) })
+	for _, i := range order {
+		e := &c.entries[i]
 		if room -= e.size(); room < 0 {
 			break
 		}
-		e.Cells = slices.Clone(e.Cells)
-		out = append(out, e)
-		c.cursor++
+		e.told++
+		copied := *e
+		copied.Cells = slices.Clone(e.Cells)
+		out = append(out, copied)
 	}
 	return out
 }
--- a/internal/fleetstate/judge.go
+++ b/internal/fleetstate/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -28,6 +29,17 @@
 // MarshalText names the kind, for the admin page.
 func (k ClaimKind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
 
+// UnmarshalText reads a kind by its name.
+func (k *ClaimKind) UnmarshalText(b []byte) error {
+	for c := ClaimKind(0); c < claimKinds; c++ {
+		if c.String() == string(b) {
+			*k = c
+			return nil
+		}
+	}
+	return fmt.Errorf("shared state: no claim %q", b)
+}
+
 // Claim is first-hand evidence on one host. A router only tells of what it
 // saw itself, so the number of claimants is the number of witnesses.
 type Claim struct {
@@ -204,8 +216,11 @@
 	switch {
 	case doubts && good >= w.at:
 		if (w.kind == Hangs || w.kind == Fails) && !w.read && w.was > 0 && w.at-w.was < j.cfg.ClaimMs && h.GoodAt-w.at < j.cfg.ClaimMs {
-			j.standing[w.peer] = j.trust(w.peer) * wrongCosts
-			j.events = append(j.events, Event{Kind: ClaimWrong, Key: h.Name, Peer: w.peer, Claim: w.kind, Amount: j.trust(w.peer)})
+			was := j.trust(w.peer)
+			j.standing[w.peer] = was * wrongCosts
+			if was >= 0.5 && was*wrongCosts < 0.5 { // a liar's every claim would be a line
+				j.events = append(j.events, Event{Kind: ClaimWrong, Key: h.Name, Peer: w.peer, Claim: w.kind, Amount: was * wrongCosts})
+			}
 		}
 		w.read = true
 		return true
@@ -288,8 +303,11 @@
 		sum, count, kind, newest := j.support(d, h, now)
 		need, least := j.cfg.Support, 2
 		own := h.Bad != 0 && h.BadAt > h.GoodAt
-		if own || h.Waiting || d.taken && now < d.until+j.cfg.HintMs { // seen here as well, or judged by more: one more witness is enough
+		switch {
+		case own || h.Waiting: // seen here as well: one more witness is enough
 			need, least = 0.5, 1
+		case d.taken && now < d.until+j.cfg.HintMs: // judged by more: one in good standing renews it
+			need, least = 0.75, 1
 		}
 		if j.cfg.Sabotage == "trust-one" {
 			need, least = 0.01, 1
--- a/internal/fleetstate/lease.go
+++ b/internal/fleetstate/lease.go
@@ -135,7 +135,11 @@
 	if needed || now < l.began+l.cfg.LeaseMs+l.cfg.SkewMs || !(a.Want > 0) || len(l.lent[a.Key]) >= maxLoans {
 		return Grant{}, false
 	}
-	amount := min(a.Want, l.cfg.Lendable*stake-sum(l.lent[a.Key], now))
+	left := l.cfg.Lendable * stake
+	if l.cfg.Sabotage != "no-lease-wait" {
+		left -= sum(l.lent[a.Key], now)
+	}
+	amount := min(a.Want, left)
 	if amount < stake/100 {
 		return Grant{}, false
 	}
--- a/internal/fleetstate/node.go
+++ b/internal/fleetstate/node.go
@@ -1,6 +1,7 @@
 package fleetstate
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 )
@@ -21,12 +22,28 @@
 const (
 	messageOverhead = 24
 	entryOverhead   = 40
-	cellBytes       = 9
 	claimOverhead   = 20
 	leaseOverhead   = 60
 )
 
-func (e Entry) size() int { return entryOverhead + len(e.Name) + cellBytes*len(e.Cells) }
+func (e Entry) size() int {
+	n := entryOverhead + len(e.Name)
+	for _, v := range e.Cells { // as CBOR (RFC 8949, 3.1) writes whole numbers
+		switch {
+		case v < 24:
+			n++
+		case v < 1<<8:
+			n += 2
+		case v < 1<<16:
+			n += 3
+		case v < 1<<32:
+			n += 5
+		default:
+			n += 9
+		}
+	}
+	return n
+}
 
 // Size is the most bytes that m takes once encoded.
 func (m Message) Size() int {
@@ -109,6 +126,40 @@
 	Leaders map[int]string // by group, where this router seeks one
 }
 
+// Shifted is the advice on a clock that is ms ahead of the one it was drawn up
+// on.
+func (a Advice) Shifted(ms int64) Advice {
+	shift := func(s Share) Share {
+		if s.Until < math.MaxInt64-ms {
+			s.Until += ms
+		}
+		return s
+	}
+	shares := make(map[string]Share, len(a.Shares))
+	for k, s := range a.Shares {
+		shares[k] = shift(s)
+	}
+	a.Shares, a.Repeats, a.Judged = shares, shift(a.Repeats), slices.Clone(a.Judged)
+	for i := range a.Judged {
+		a.Judged[i].Until += ms
+	}
+	return a
+}
+
+// Shifted is what was seen on a clock that is ms ahead of the router's.
+func (s Seen) Shifted(ms int64) Seen {
+	s.Hosts = slices.Clone(s.Hosts)
+	for i := range s.Hosts {
+		h := &s.Hosts[i]
+		for _, t := range []*int64{&h.LeadsAt, &h.BadAt, &h.GoodAt, &h.FreshAt, &h.TriedAt} {
+			if *t > 0 { // 0 is never
+				*t += ms
+			}
+		}
+	}
+	return s
+}
+
 // Ready is what an event asks of the caller.
 type Ready struct {
 	Messages []Out
--- a/internal/lab/fleetview.go
+++ b/internal/lab/fleetview.go
@@ -3,13 +3,9 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
-	"net/netip"
-	"os"
-	"syscall"
 	"time"
 
 	"lotusbend/internal/faultnet"
@@ -64,16 +60,6 @@
 // over 20 seeds of 30 s; at 200 none, with a split or without.
 const periodMs = 200
 
-type member struct {
-	r           *Router
-	admin       string
-	start       int64 // the instance's start as its own view tells, 0 before known
-	running     bool
-	zone        int
-	calm        time.Time // until then, its deaths in others' views are no fault
-	pausedUntil time.Time
-}
-
 // settleBound is the rules' bound (the longest suspicion, two rounds of
 // probes, gossip's log2(p)+4 periods, as the rules' tests state it) and two
 // seconds for what processes add: the relay's delays, polls every 100 ms,
@@ -93,68 +79,13 @@
 	rnd := rand.New(rand.NewPCG(o.Seed, 0xf1ee7))
 	so := standin.Defaults()
 	so.Seed, so.Groups = o.Seed, 1
-	cluster, err := standin.Start(so)
-	if err != nil {
-		return res, err
-	}
-	defer cluster.Close()
-	dir, err := os.MkdirTemp("", "lotuslab-fleetview")
-	if err != nil {
-		return res, err
-	}
-	defer os.RemoveAll(dir)
-	var backs []netip.AddrPort
-	for range o.Procs {
-		a, err := freeAddress("udp")
-		if err != nil {
-			return res, err
-		}
-		backs = append(backs, netip.MustParseAddrPort(a))
-	}
-	relay, err := faultnet.New(o.Seed, backs)
+	f, err := startMembers(memberOptions{Seed: o.Seed, Procs: o.Procs, Binary: o.Binary, Log: o.RouterLog, Level: "warn", Standin: so,
+		Faults: faultnet.Faults{Loss: o.Loss, Dup: 0.02, DelayMs: 1, JitterMs: 4}, Settings: settings, Sabotage: o.Sabotage})
+	defer f.close()
 	if err != nil {
 		return res, err
 	}
-	defer relay.Close()
-	relay.Set(faultnet.Faults{Loss: o.Loss, Dup: 0.02, DelayMs: 1, JitterMs: 4})
-	ms := make([]*member, o.Procs)
-	for i := range ms {
-		m := &member{zone: i % 2, running: true}
-		if m.admin, err = freeAddress("tcp"); err != nil {
-			return res, err
-		}
-		m.r = &Router{Name: fmt.Sprint("m", i+1), Frame: m.admin, dir: dir, binary: o.Binary, log: o.RouterLog}
-		if m.r.Listen, err = freeAddress("tcp"); err != nil {
-			return res, err
-		}
-		opts := fmt.Sprintf(`{"log": {"level": "warn"}, "membership": {"bind": %q, "advertise": %q, "seeds": [%q], "admin": %q, "zone": "z%d", "period_ms": %d%s}}`,
-			backs[i], relay.Front(i), relay.Front(0), m.admin, m.zone, periodMs, sabotageKey(o.Sabotage))
-		config := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":256},"known":%s,"settings":%s}`,
-			m.r.Name, m.r.Listen, cluster.Discovery, o.Seed+uint64(i), cluster.List(), fmt.Sprintf(settings, o.Procs))
-		if err := os.WriteFile(m.r.configPath(), []byte(config), 0o600); err != nil {
-			return res, err
-		}
-		if err := os.WriteFile(m.r.settingsPath(), []byte(opts), 0o600); err != nil {
-			return res, err
-		}
-		ms[i] = m
-	}
-	defer func() {
-		for _, m := range ms {
-			if m.r.cmd != nil {
-				_ = m.r.cmd.Process.Signal(syscall.SIGCONT) // a paused one must hear its end
-			}
-			m.r.Kill()
-		}
-	}()
-	for _, m := range ms {
-		if err := m.r.Start(); err != nil {
-			return res, err
-		}
-		if err := m.r.waitReady(10 * time.Second); err != nil {
-			return res, err
-		}
-	}
+	ms, backs, relay := f.ms, f.backs, f.relay
 	w := &watcher{ms: ms, backs: backs, res: &res, progress: cmp.Or[io.Writer](o.Progress, io.Discard), bound: settleBound(o.Procs)}
 	w.phase(ctx, "join", nil)
 	w.play(ctx, o, rnd, relay)
@@ -165,10 +96,3 @@
 	}
 	return res, ctx.Err()
 }
-
-func sabotageKey(s string) string {
-	if s == "" {
-		return ""
-	}
-	return fmt.Sprintf(`, "sabotage": %q`, s)
-}
--- a/internal/options/shared.go
+++ b/internal/options/shared.go
@@ -9,6 +9,9 @@
 // Shared switches the state that routers share on (docs/shared-state.md).
 type Shared struct {
 	Rules fleetstate.Config // its Name, Start and Seed are the router's to fill in
+	// ClockOffsetMs sets the clock of membership and shared state off, for
+	// drills of clocks that disagree.
+	ClockOffsetMs float64
 }
 
 // shared reads the section; what it leaves out has the rules' default.
@@ -19,16 +22,17 @@
 		return func(v *tree) { *to = int64(v.integer(low, high)) }
 	}
 	fields := map[string]func(*tree){
-		"tick_ms":    ms(&c.TickMs, 20, 10_000),
-		"counts_ms":  ms(&c.CountsMs, 20, 60_000),
-		"lease_ms":   ms(&c.LeaseMs, 100, 600_000),
-		"skew_ms":    ms(&c.SkewMs, 0, 600_000),
-		"fold_ms":    ms(&c.FoldMs, 10_000, 86_400_000),
-		"claim_ms":   ms(&c.ClaimMs, 100, 60_000),
-		"hint_ms":    ms(&c.HintMs, 20, 60_000),
-		"hearsay_ms": ms(&c.HearsayMs, 20, 60_000),
-		"share_most": func(v *tree) { c.ShareMost = v.number(0, 0.9, false) },
-		"lendable":   func(v *tree) { c.Lendable = v.number(0, 0.9, false) },
+		"tick_ms":         ms(&c.TickMs, 20, 10_000),
+		"counts_ms":       ms(&c.CountsMs, 20, 60_000),
+		"lease_ms":        ms(&c.LeaseMs, 100, 600_000),
+		"skew_ms":         ms(&c.SkewMs, 0, 600_000),
+		"fold_ms":         ms(&c.FoldMs, 10_000, 86_400_000),
+		"claim_ms":        ms(&c.ClaimMs, 100, 60_000),
+		"hint_ms":         ms(&c.HintMs, 20, 60_000),
+		"hearsay_ms":      ms(&c.HearsayMs, 20, 60_000),
+		"share_most":      func(v *tree) { c.ShareMost = v.number(0, 0.9, false) },
+		"lendable":        func(v *tree) { c.Lendable = v.number(0, 0.9, false) },
+		"clock_offset_ms": func(v *tree) { s.ClockOffsetMs = v.number(0, 3600e3, true) },
 		"sabotage": func(v *tree) {
 			c.Sabotage = v.choice("no-lease-wait", "trust-one", "counts-by-sum", "never-expire", "liar", "liar-well")
 		},
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -27,9 +27,13 @@
 // Start starts every host and discovery on loopback.
 func Start(opt Options) (*Cluster, error) {
 	c := &Cluster{opt: opt, index: 1, changed: make(chan struct{})}
-	for n := 1; n <= opt.Groups; n++ {
+	for n := 1; n <= opt.Groups+opt.Singles; n++ {
+		replicas := opt.Replicas
+		if n > opt.Groups {
+			replicas = 0
+		}
 		g := &group{opt: &c.opt, number: n, rand: rand.New(rand.NewPCG(opt.Seed, uint64(n))), rows: map[string]int{}, keys: map[string]*keyState{}}
-		for i := range opt.Replicas + 1 {
+		for i := range replicas + 1 {
 			h := &Host{Name: fmt.Sprintf("s%d-%d", n, i), Zone: "east", group: g, lag: g.draw(opt.ShipMin, opt.ShipMax) + 5, slots: make(chan struct{}, opt.Cores)}
 			if err := h.start(); err != nil {
 				return nil, err
@@ -179,6 +183,19 @@
 	return all
 }
 
+// Hosts returns a group's hosts, the first primary first.
+func (c *Cluster) Hosts(group int) []*Host { return c.groups[group-1].hosts }
+
+// Stale returns how many reads were answered from data older than BoundMs.
+func (c *Cluster) Stale() (n int) {
+	for _, g := range c.groups {
+		g.mu.Lock()
+		n += g.stale
+		g.mu.Unlock()
+	}
+	return n
+}
+
 // Counts returns how many repeats of keys were dropped, and how many writes
 // died with their primary.
 func (c *Cluster) Counts() (repeats, aborted int) {
--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -25,6 +25,7 @@
 type Options struct {
 	Seed                   uint64
 	Groups, Replicas       int
+	Singles                int // groups after those that have a primary alone
 	KeyTTL                 float64
 	WorkMin, WorkMax       float64
 	ShipMin, ShipMax       float64
@@ -36,6 +37,12 @@
 	FullChance             float64 // chance that a request is turned away unseen
 	Fresh                  string  // the class that must see all that was written
 	Sabotage               Sabotage
+	// Steady hosts answer each statement after its work, however many there
+	// are and however cold they are: they only count what they are sent. One
+	// that hangs still takes connections.
+	Steady  bool
+	Bounded string  // the class that BoundMs is for
+	BoundMs float64 // data older than this in a replica's answer is counted as stale; 0 for none
 }
 
 // Defaults are the figures of the deployment, with less work to each request.
@@ -69,6 +76,7 @@
 	keys    map[string]*keyState
 	repeats int
 	aborted int
+	stale   int
 }
 
 type keyState struct {
@@ -171,6 +179,9 @@
 	h.awake()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if class == g.opt.Bounded && g.opt.BoundMs > 0 && g.primary != h && h.lag > g.opt.BoundMs {
+		g.stale++
+	}
 	if class == g.opt.Fresh && (g.primary != h || h.isDown()) { // it lost its role meanwhile
 		return result{code: "XX000"}
 	}
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -29,6 +29,35 @@
 	ln      net.Listener
 	conns   map[net.Conn]bool
 	waiting int
+	got     []Received
+}
+
+// Received is one statement that a host read off a connection.
+type Received struct {
+	At   float64 // Unix milliseconds
+	ID   string  // the statement's
+	Hung bool    // it came while the host hung
+}
+
+// Received returns every statement that the host was sent so far.
+func (h *Host) Received() []Received {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Received(nil), h.got...)
+}
+
+// Lag holds a replica back by so many milliseconds from now on.
+func (h *Host) Lag(ms float64) {
+	h.group.mu.Lock()
+	defer h.group.mu.Unlock()
+	h.lag = ms
+}
+
+// Since is when the host last started, 0 for long ago.
+func (h *Host) Since() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.since
 }
 
 func (h *Host) isDown() bool {
@@ -55,6 +84,11 @@
 
 // work takes a core for as long as a statement needs; a cold host is slower.
 func (h *Host) work() {
+	if o := h.group.opt; o.Steady {
+		sleepMs(h.group.draw(o.WorkMin, o.WorkMax))
+		h.awake()
+		return
+	}
 	h.slots <- struct{}{}
 	defer func() { <-h.slots }()
 	h.awake()
@@ -135,7 +169,9 @@
 	if _, err := in.Discard(n); err != nil {
 		return
 	}
-	h.awake()
+	if !h.group.opt.Steady {
+		h.awake()
+	}
 	b := wire.AppendReady(wire.AppendKeyData(wire.AppendAuthenticationOk(nil), 1, 1))
 	if _, err := c.Write(b); err != nil {
 		return
@@ -212,6 +248,7 @@
 	wait, _ := strconv.ParseFloat(params["d"], 64)
 	until := nowMs() + wait
 	h.mu.Lock()
+	h.got = append(h.got, Received{nowMs(), params["id"], h.hung != nil})
 	full := h.waiting >= g.opt.Queue
 	if !full {
 		h.waiting++
