--- /dev/null
+++ b/internal/fleetstate/guide_test.go
@@ -0,0 +1,70 @@
+package fleetstate
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+func at(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// What a guide was told ends by itself: a router that was paused acts on
+// nothing that has ended, before anything new was told.
+func TestAGuideEndsByItself(t *testing.T) {
+	var g Guide
+	if g.Cold(1, 5, 2, at(0)) != 5 || g.Last(1, at(0)) || g.Leads(1, at(0)) || g.Repeats(at(0)) != 0 {
+		t.Fatal("a guide that was told nothing says something")
+	}
+	id := func(name string) (uint32, bool) { return uint32(len(name)), name != "unknown" }
+	g.Set(Advice{Routers: 4, Shares: map[string]Share{"h": {Own: 0.125, Held: 0.5, Until: 1000}, "unknown": {}},
+		Repeats: Share{Own: -0.2, Held: 1, Until: 1000}, Judged: []Judgement{{Host: "hh", Until: 700}}, Leaders: map[int]string{1: "hhh"}}, id, 100)
+	// Half of the stake of a quarter is left, and two stakes are borrowed.
+	if got := g.Cold(1, 6, 2, at(999)); got != 6*0.5+2*2 {
+		t.Errorf("the rate is %g, want half of its own and two stakes", got)
+	}
+	if got := g.Cold(1, 6, 2, at(1000)); got != 3 {
+		t.Errorf("past the lease the rate is %g, want half of its own", got)
+	}
+	if got := g.Cold(9, 6, 2, at(500)); got != 6 {
+		t.Errorf("of a host without a share the rate is %g, want its own", got)
+	}
+	if a, b := g.Repeats(at(999)), g.Repeats(at(1000)); a != 0.8 || b != -0.2 {
+		t.Errorf("repeats %g within the lease and %g past it, want 0.8 and -0.2", a, b)
+	}
+	if !g.Last(2, at(699)) || g.Last(2, at(700)) {
+		t.Error("a judgement must hold until its end, and no longer")
+	}
+	if !g.Leads(3, at(1099)) || g.Leads(3, at(1100)) {
+		t.Error("a heard leader is asked first for a while, and no longer")
+	}
+}
+
+// A lender gives up at least what the borrower gains, whatever their own rates.
+func TestLendingNeverAddsToWhatAColdHostIsSent(t *testing.T) {
+	id := func(string) (uint32, bool) { return 1, true }
+	for _, own := range []float64{2, 3, 10, 100} { // at least the stake's rate, which is 2
+		for _, lent := range []float64{0, 0.05, 0.125, 0.25} {
+			const stake, one = 0.25, 2.0
+			var lender, borrower Guide
+			lender.Set(Advice{Routers: 4, Shares: map[string]Share{"h": {Own: stake - lent, Until: math.MaxInt64}}}, id, 0)
+			borrower.Set(Advice{Routers: 4, Shares: map[string]Share{"h": {Own: stake, Held: lent, Until: 1000}}}, id, 0)
+			sum := lender.Cold(1, own, one, at(1)) + borrower.Cold(1, own, one, at(1))
+			if sum > 2*own+1e-9 {
+				t.Errorf("own rate %g, lent %g: together %g, alone %g", own, lent, sum, 2*own)
+			}
+		}
+	}
+}
+
+// Advice and what was seen cross between two clocks without moving in time.
+func TestShiftedThereAndBack(t *testing.T) {
+	a := Advice{Shares: map[string]Share{"h": {Own: 1, Held: 1, Until: 500}, "i": {Own: 1, Until: math.MaxInt64}}, Repeats: Share{Until: 90}, Judged: []Judgement{{Host: "h", Until: 70}}}
+	b := a.Shifted(2000)
+	if b.Shares["h"].Until != 2500 || b.Shares["i"].Until != math.MaxInt64 || b.Repeats.Until != 2090 || b.Judged[0].Until != 2070 || a.Judged[0].Until != 70 {
+		t.Errorf("shifted %+v from %+v", b, a)
+	}
+	s := Seen{Hosts: []Host{{Name: "h", GoodAt: 10, BadAt: 0, TriedAt: 30}}}
+	if got := s.Shifted(5).Hosts[0]; got.GoodAt != 15 || got.BadAt != 0 || got.TriedAt != 35 || s.Hosts[0].GoodAt != 10 {
+		t.Errorf("shifted %+v", got)
+	}
+}
--- a/internal/fleetstate/node.go
+++ b/internal/fleetstate/node.go
@@ -230,19 +230,23 @@
 func (n *Node) Tick(now int64) Ready {
 	var r Ready
 	r.Events = n.leases.expire(now)
-	if now >= n.next || n.judge.urgent(now) { // what was just found is told at once
+	if urgent := n.judge.urgent(now); now >= n.next || urgent { // what was just found is told at once
 		n.next = now + n.cfg.TickMs
 		n.counts.tick(now)
-		r.Messages = n.speak(now)
+		r.Messages = n.speak(now, urgent)
 	}
 	r.Events = append(r.Events, n.judge.events...)
 	n.judge.events = nil
 	return r
 }
 
+// newsFan is how many times FanOut peers are told of what was just found: the
+// first moments count, and what follows comes at FanOut's pace.
+const newsFan = 3
+
 // speak makes this tick's messages: counters to one peer, claims to FanOut,
 // asks to Lenders for each budget that this router wants more of.
-func (n *Node) speak(now int64) (out []Out) {
+func (n *Node) speak(now int64, urgent bool) (out []Out) {
 	if len(n.peers) == 0 {
 		return nil
 	}
@@ -266,7 +270,11 @@
 		return got
 	}
 	if claims := n.judge.claims(now); len(claims) > 0 {
-		for _, p := range draw(n.cfg.FanOut) {
+		fan := n.cfg.FanOut
+		if urgent {
+			fan *= newsFan
+		}
+		for _, p := range draw(fan) {
 			m := to(p)
 			for i := range claims { // each peer from another place on, so that a long list gets round
 				c := claims[(i+n.told)%len(claims)]
--- /dev/null
+++ b/internal/fleetstate/node_test.go
@@ -0,0 +1,105 @@
+package fleetstate
+
+import (
+	"fmt"
+	"testing"
+)
+
+func newTestNode(name string, fleet int, now int64) *Node {
+	cfg := Defaults()
+	cfg.Name, cfg.Start = name, now
+	return New(cfg, fleet, now)
+}
+
+// The number that shares are cut by rises at once with the view and falls only
+// long after: who cannot be heard may be cut off, and sending.
+func TestTheFleetsSizeFallsLate(t *testing.T) {
+	n := newTestNode("a", 4, 0)
+	for _, step := range []struct {
+		at         int64
+		size, want int
+	}{{0, 2, 4}, {1000, 9, 9}, {2000, 5, 9}, {1000 + n.cfg.FoldMs - 1, 5, 9}, {1000 + n.cfg.FoldMs, 5, 5}, {2000 + 3*n.cfg.FoldMs, 1, 4}} {
+		n.Fleet([]string{"b"}, step.size, step.at)
+		if got := n.Advice(step.at).Routers; got != step.want {
+			t.Errorf("at %d, with %d seen, shares are cut by %d, want %d", step.at, step.size, got, step.want)
+		}
+	}
+}
+
+// A router that hears nothing has its own stake alone once its leases ended,
+// and no judgement.
+func TestARouterThatHearsNothingIsAlone(t *testing.T) {
+	n := newTestNode("a", 4, 0)
+	now := n.cfg.LeaseMs + n.cfg.SkewMs
+	n.Fleet([]string{"b", "c"}, 4, now)
+	n.Observe(Seen{Hosts: []Host{{Name: "h", Ready: true, Cold: true, Needed: true}, {Name: "i", Group: 1, Ready: true}, {Name: "j", Group: 1, Ready: true}}})
+	var asked *Ask
+	for _, m := range n.Tick(now).Messages {
+		if m.To == "b" && len(m.Msg.Asks) > 0 {
+			asked = &m.Msg.Asks[0]
+		}
+	}
+	if asked == nil {
+		t.Fatal("a cold host that is needed is not asked for")
+	}
+	n.Receive("b", Message{Grants: []Grant{{Key: "h", ID: asked.ID, Amount: 0.125, At: asked.At, ForMs: n.cfg.LeaseMs}}}, now+1)
+	for _, p := range []string{"b", "c"} {
+		n.Receive(p, Message{Claims: []Claim{{"i", Hangs, 0}}}, now+1)
+	}
+	if a := n.Advice(now + 1); a.Shares["h"].At(now+1) != 0.375 || len(a.Judged) != 1 {
+		t.Fatalf("advice %+v, want a share of 0.375 and one judgement", a)
+	}
+	n.Fleet(nil, 4, now+2) // it hears nobody any more
+	later := now + n.cfg.ClaimMs + n.cfg.LeaseMs
+	n.Tick(later)
+	if a := n.Advice(later); a.Shares["h"].At(later) != 0.25 || len(a.Judged) > 0 {
+		t.Errorf("after silence advice %+v, want its stake and no judgement", a)
+	}
+}
+
+// Strangers are not heard, and peers cannot make a node hold more than its
+// bounds, whatever they send.
+func TestAPeersFloodIsBounded(t *testing.T) {
+	n := newTestNode("a", 4, 0)
+	n.Fleet([]string{"b"}, 2, 0)
+	n.Observe(Seen{Hosts: []Host{{Name: "h", Ready: true, Cold: true}}})
+	now := n.cfg.LeaseMs + n.cfg.SkewMs
+	if n.Receive("x", Message{Claims: []Claim{{"h", Hangs, 0}}}, now); n.Dropped != 1 || len(n.judge.doubts) > 0 {
+		t.Error("a stranger was heard")
+	}
+	for i := range 3 * n.cfg.MaxEntries {
+		n.Receive("b", Message{Counts: []Entry{{Name: fmt.Sprint("x", i), Epoch: 1, Stamp: now, Cells: Cells{1}}},
+			Asks: []Ask{{Key: "h", ID: uint64(i), Want: 1e-9, At: now}, {Key: fmt.Sprint("k", i), ID: 1, Want: 1, At: now}}}, now)
+	}
+	if e, l := len(n.counts.entries), len(n.leases.lent["h"]); e > n.cfg.MaxEntries || l > maxLoans || len(n.leases.lent) > 1 {
+		t.Errorf("%d entries, %d loans of h, %d budgets held", e, l, len(n.leases.lent))
+	}
+}
+
+// No message is over its size, however much there is to tell.
+func TestMessagesKeepTheirSize(t *testing.T) {
+	n := newTestNode("a", 300, 0)
+	var peers []string
+	var hosts []Host
+	for i := range 300 {
+		peers = append(peers, fmt.Sprint("router-of-a-long-name-", i))
+		hosts = append(hosts, Host{Name: fmt.Sprint("host-of-a-long-name-", i), Group: i / 3, Ready: true, Bad: Hangs, BadAt: 1, Cold: true, Needed: true})
+	}
+	n.Fleet(peers, 301, 0)
+	n.Observe(Seen{Hosts: hosts})
+	for i := range 300 {
+		n.counts.merge(Entry{Name: peers[i], Epoch: 5, Cells: make(Cells, 20)}, 0)
+	}
+	count := 0
+	for now := int64(0); now < 5000; now += n.cfg.TickMs {
+		for _, m := range n.Tick(now).Messages {
+			count++
+			if s := m.Msg.Size(); s > n.cfg.MaxBytes {
+				t.Fatalf("a message of %d bytes", s)
+			}
+		}
+	}
+	if count == 0 {
+		t.Fatal("nothing was said")
+	}
+}
