--- a/internal/fleetstate/node_test.go
+++ b/internal/fleetstate/node_test.go
@@ -103,3 +103,27 @@
 		t.Fatal("nothing was said")
 	}
 }
+
+// Repeats that one router has saved and does not use are lent to one that has
+// none left; what is borrowed and what was lent add up.
+func TestSpareRepeatsAreLent(t *testing.T) {
+	rich, poor := newTestNode("rich", 2, 0), newTestNode("poor", 2, 0)
+	now := rich.cfg.LeaseMs + rich.cfg.SkewMs
+	for _, n := range []*Node{rich, poor} {
+		n.Fleet([]string{map[*Node]string{rich: "poor", poor: "rich"}[n]}, 2, now)
+	}
+	rich.Observe(Seen{Repeats: RepeatBudget{Earns: 2, Spare: true}})
+	poor.Observe(Seen{Repeats: RepeatBudget{Earns: 1, Wanting: true}})
+	for _, m := range poor.Tick(now).Messages {
+		for _, g := range rich.Receive("poor", m.Msg, now).Messages {
+			poor.Receive("rich", g.Msg, now)
+		}
+	}
+	a, b := rich.Advice(now).Repeats.At(now), poor.Advice(now).Repeats.At(now)
+	if a != -1 || b != 1 {
+		t.Errorf("repeats a second beside their own: %g and %g, want -1 lent and 1 borrowed", a, b)
+	}
+	if got := poor.Advice(now + rich.cfg.LeaseMs).Repeats.At(now + rich.cfg.LeaseMs); got != 0 {
+		t.Errorf("after the lease %g is left", got)
+	}
+}
--- /dev/null
+++ b/internal/options/shared_test.go
@@ -0,0 +1,40 @@
+package options
+
+import (
+	"strings"
+	"testing"
+
+	"lotusbend/internal/fleetstate"
+)
+
+// The section is off unless named, has the rules' defaults, and what cannot
+// work is one line with its place.
+func TestSharedSection(t *testing.T) {
+	member := `"membership": {"bind": "127.0.0.1:7000"}`
+	o, err := Parse("f", []byte(`{`+member+`, "shared": {"lease_ms": 4000, "skew_ms": 0, "sabotage": "trust-one"}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := fleetstate.Defaults()
+	want.LeaseMs, want.SkewMs, want.Sabotage = 4000, 0, "trust-one"
+	if o.Shared == nil || o.Shared.Rules != want {
+		t.Errorf("got %+v, want %+v", o.Shared, want)
+	}
+	if o, err := Parse("f", []byte(`{`+member+`}`)); err != nil || o.Shared != nil {
+		t.Errorf("without the section: %+v, %v", o.Shared, err)
+	}
+	for text, says := range map[string]string{
+		`{"shared": {}}`: "shared needs membership",
+		`{` + member + `, "shared": {"lease_ms": 1}}`:                   "lease_ms",
+		`{` + member + `, "shared": {"lease_ms": 300, "tick_ms": 200}}`: "twice the tick",
+		`{` + member + `, "shared": {"share_most": 1}}`:                 "share_most",
+		`{` + member + `, "shared": {"fold_ms": 20000}}`:                "ten leases",
+		`{` + member + `, "shared": {"sabotage": "all"}}`:               "sabotage",
+		`{` + member + `, "shared": {"leases_ms": 1}}`:                  "leases_ms",
+	} {
+		_, err := Parse("f", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), says) || strings.Contains(err.Error(), "\n") || !strings.HasPrefix(err.Error(), "f:1:") {
+			t.Errorf("%s: %v, want one line at f:1 that names %q", text, err, says)
+		}
+	}
+}
