Leave half of every stake alone from the first request on, and what is lent early

A router used its whole stake until its first advice (up to 0.1 s after a start, when an earlier life may have lent half), and in a host that it was told to be cold later than the borrower was. Advice now names every host with a share lent or held, and what is left of every other stake; the first holds from the start. An attempt speaks for what peers say only after twice an answer's time: after once, half of all attempts did.

--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -140,6 +140,7 @@
 		if f.link != nil {
 			n.router.Share()
 			n.names = map[uint32]string{}
+			guide.Set(f.link.First().Shifted(-f.ahead), n.number, int64(n.loop.Now()))
 		}
 	})
 	if f.link == nil {
--- a/internal/fleetstate/guide.go
+++ b/internal/fleetstate/guide.go
@@ -11,6 +11,7 @@
 type Guide struct {
 	routers int
 	stake   float64
+	rest    float64
 	shares  map[uint32]Share
 	repeats Share
 	last    map[uint32]int64
@@ -26,7 +27,7 @@
 // Set takes advice given at now; id translates a host's name into the
 // module's number.
 func (g *Guide) Set(a Advice, id func(name string) (uint32, bool), now int64) {
-	*g = Guide{routers: a.Routers, stake: 1 / float64(max(a.Routers, 1)), repeats: a.Repeats,
+	*g = Guide{routers: a.Routers, stake: 1 / float64(max(a.Routers, 1)), rest: a.Rest, repeats: a.Repeats,
 		shares: make(map[uint32]Share, len(a.Shares)), last: make(map[uint32]int64, len(a.Judged)), leads: make(map[uint32]int64, len(a.Leaders))}
 	for name, s := range a.Shares {
 		if n, ok := id(name); ok {
@@ -54,8 +55,11 @@
 // in such a member, so what it gives up is at least what the borrower gains.
 func (g *Guide) Cold(member uint32, own, one float64, now time.Duration) float64 {
 	s, ok := g.shares[member]
-	if !ok || g.stake <= 0 {
+	switch {
+	case g.stake <= 0: // told nothing, or the number of routers alone
 		return own
+	case !ok:
+		return own * g.rest
 	}
 	rate := own * min(1, s.Own/g.stake)
 	if now.Milliseconds() < s.Until {
--- a/internal/fleetstate/link/link.go
+++ b/internal/fleetstate/link/link.go
@@ -43,6 +43,7 @@
 	log     *slog.Logger
 	advice  chan Advice
 	advised int64
+	first   fleetstate.Advice
 	seq     uint64 // of the last advice
 	applied atomic.Uint64
 	grants  []grant
@@ -66,10 +67,15 @@
 		return nil, err
 	}
 	l := &Link{node: fleetstate.New(cfg, fleet, now), codec: codec, log: log, advice: make(chan Advice, 1)}
+	l.first = l.node.Advice(now)
 	l.page = l.node.Page(now)
 	return l, nil
 }
 
+// First is the advice that holds before any other: what an earlier life of
+// this router may have lent is left alone from the first request on.
+func (l *Link) First() fleetstate.Advice { return l.first }
+
 // Offer takes what the router saw; what was not yet taken of an earlier one is
 // added up.
 func (l *Link) Offer(s fleetstate.Seen) {
--- a/internal/fleetstate/node.go
+++ b/internal/fleetstate/node.go
@@ -120,7 +120,8 @@
 // Advice is what the router may act on until the next.
 type Advice struct {
 	Routers int              // the larger of the setting and what was seen: 1/Routers is a stake
-	Shares  map[string]Share // of cold hosts' allowances, as parts of the whole
+	Shares  map[string]Share // of hosts' allowances while cold, as parts of the whole
+	Rest    float64          // what is left of the stake in every other host, 1 for all
 	Repeats Share            // repeats a second; Own is below 0 by what is lent
 	Judged  []Judgement
 	Leaders map[int]string // by group, where this router seeks one
@@ -368,11 +369,13 @@
 func (n *Node) Advice(now int64) Advice {
 	a := Advice{Routers: n.size, Judged: n.judge.judge(now), Leaders: n.judge.leaders(), Shares: map[string]Share{}}
 	stake := 1 / float64(n.size)
+	// A host may be told to be cold here later than to who borrowed the share.
 	for _, h := range n.judge.hosts {
-		if h.Cold {
+		if h.Cold || len(n.leases.lent[h.Name])+len(n.leases.held[h.Name]) > 0 {
 			a.Shares[h.Name] = n.leases.Share(h.Name, stake, now)
 		}
 	}
+	a.Rest = n.leases.Share("", 1, now).Own
 	a.Repeats = n.leases.Share(RepeatsKey, n.repeats.Earns, now)
 	a.Repeats.Own -= n.repeats.Earns
 	n.advice = a
--- a/internal/fleetstate/node_test.go
+++ b/internal/fleetstate/node_test.go
@@ -43,6 +43,9 @@
 		t.Fatal("a cold host that is needed is not asked for")
 	}
 	n.Receive("b", Message{Grants: []Grant{{Key: "h", ID: asked.ID, Amount: 0.125, At: asked.At, ForMs: n.cfg.LeaseMs}}}, now+1)
+	if early := newTestNode("a", 4, 0).Advice(1); early.Rest != 0.5 {
+		t.Errorf("right after a start %g of each stake is used, want half", early.Rest)
+	}
 	for _, p := range []string{"b", "c"} {
 		n.Receive(p, Message{Claims: []Claim{{"i", Hangs, 0}}}, now+1)
 	}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -30,6 +30,7 @@
 }
 
 const (
+	waitsAfter  = 2.0  // latencies without an answer that speak for what peers say
 	silentAfter = 4.0  // latencies without an answer that tell of silence
 	badFor      = 2000 // ms that a failure here speaks for what peers say
 	slowTimes   = 4.0  // the usual latency, past which a host is told to be slow
@@ -159,7 +160,7 @@
 // judge says what one host's record tells of it.
 func (h *record) judge(v decide.MemberView, now float64, to *fleetstate.Host) {
 	silent := now - h.asked
-	to.Waiting = h.bad > h.good && now-h.bad < badFor || h.asked > 0 && silent > clock.Millis(v.Latency)
+	to.Waiting = h.bad > h.good && now-h.bad < badFor || h.asked > 0 && silent > waitsAfter*clock.Millis(max(v.Latency, v.Usual))
 	if h.asked > 0 && silent > silentAfter*clock.Millis(max(v.Latency, v.Usual)) {
 		h.bad, h.asked = max(h.bad, h.asked), 0 // the next attempt is timed anew
 	}
