Ask a suspect once more before its death is told; let newcomers pull pages

Whoever would declare a death now pings the suspect once with the suspicion and waits two direct probes' time; the answer carries the suspect's own word.

Cause of the slow join (a trace of 300): joins' gossip took the whole byte budget, each name came about ten times, and pages, one a second, were held back. A member that met a larger view asks page after page, every period, from where the last answer ended; names that a page told are not gossiped again; joins leave one page's worth of the budget to pages; a newcomer's first page starts anywhere.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -101,7 +101,14 @@
 		limit := n.limit()
 		for i := range n.queue.items {
 			b := &n.queue.items[i]
-			if s := b.r.size(); s <= room {
+			s := b.r.size()
+			// Joins leave one page's worth of the budget to pages: when many
+			// join at once they would take all of it, and hold back the pages
+			// that make them needless. Suspicions and refutations may use all.
+			if b.r.State == Alive && b.r.Inc == 0 && int(n.tokens)-size+free-s < n.cfg.MaxPacket {
+				continue
+			}
+			if s <= room {
 				m.Rumors = append(m.Rumors, b.r)
 				room -= s
 				size += s
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -23,6 +23,7 @@
 	Target     string // Ping: the name meant; PingReq, Ack and Nack: the probed
 	TargetAddr string // PingReq: where the probed is
 	After      string // Sync: the page holds names after this one
+	Count      int    // Sync and SyncReply: members that the sender's view holds
 	Rumors     []Rumor
 	Payload    []byte // Carried: opaque to the rules
 }
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -39,6 +39,8 @@
 	cursor   string // push-pull's page starts after this name
 	nextSync int64
 	syncs    int
+	behind   int64  // until then this member knows less than some peer
+	pull     string // where the next answer's page starts
 
 	version   uint64
 	changedAt int64
@@ -98,13 +100,20 @@
 	if m.Kind != Sync && m.Kind != SyncReply {
 		n.merge(m.Rumors, now)
 	}
+	if len(n.members) == 0 && !slices.Contains(n.seeds, from) && len(n.seeds) < accusers {
+		n.seeds = append(n.seeds, from) // who has heard of us already is as good a seed as a busy one
+	}
 	switch m.Kind {
 	case Ping:
 		if m.Target != "" && m.Target != n.self.Name {
 			n.stats.Misdirected++ // meant for an earlier member at this address
 			break
 		}
-		n.send(from, Message{Kind: Ack, Seq: m.Seq, Target: n.self.Name}, now, true)
+		ack := Message{Kind: Ack, Seq: m.Seq, Target: n.self.Name}
+		if slices.ContainsFunc(m.Rumors, func(r Rumor) bool { return r.Name == n.self.Name && r.State != Alive }) && n.cfg.Sabotage != "no-refute" {
+			ack.Rumors = append(ack.Rumors, n.self) // it doubts us: our word goes with the answer
+		}
+		n.send(from, ack, now, true)
 	case PingReq:
 		n.carry(from, m, now)
 	case Ack:
@@ -115,9 +124,11 @@
 		}
 	case Sync:
 		n.mergePage(m, now)
+		n.compared(m, now)
 		n.replySync(from, m, now)
 	case SyncReply:
 		n.mergePage(m, now)
+		n.compared(m, now)
 	case Carried:
 		// Only a member of the view speaks, and only from its own address.
 		if e := n.members[m.From]; e != nil && e.Addr == from && e.State <= Suspect {
@@ -147,12 +158,17 @@
 		if r.State == Dead && r.Name != n.self.Name {
 			r.State, r.By = Suspect, m.From
 		}
-		n.apply(r, now)
+		// A newcomer that a page of another tells of is no news: that other
+		// has it, and pages carry it on. The sender itself may be.
+		n.learn(r, r.Name != m.From, now)
 	}
 }
 
 // apply takes one rumor about a member.
-func (n *Node) apply(r Rumor, now int64) {
+func (n *Node) apply(r Rumor, now int64) { n.learn(r, false, now) }
+
+// learn takes a rumor; paged says that it came in another member's page.
+func (n *Node) learn(r Rumor, paged bool, now int64) {
 	if r.Name == "" || r.State > Left {
 		n.stats.Malformed++
 		return
@@ -184,7 +200,9 @@
 			n.watch = append(n.watch, r.Name)
 		}
 		n.changed(Change{Kind: Joined, Member: r, Was: r.State, At: now})
-		n.queue.add(r)
+		if !paged || r.State != Alive {
+			n.queue.add(r)
+		}
 		return
 	}
 	if r.State == Suspect && e.State == Suspect && r.Start == e.Start && r.Inc == e.Inc {
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -12,6 +12,7 @@
 	from, min, max int64
 	k              int
 	by             map[string]bool // bounded by the members: one a name
+	called         int64           // when the last call went out, 0 for not yet
 }
 
 // newSuspicion starts a suspicion that by raised now. With n members the
@@ -57,7 +58,13 @@
 		switch {
 		case e == nil || e.State == Alive:
 			continue // refuted or forgotten: the timer ends
-		case e.State == Suspect && e.susp != nil && now >= e.susp.ends():
+		case e.State == Suspect && e.susp != nil && now >= e.susp.ends() && e.susp.called == 0:
+			// The last call: whoever would declare a death asks the member
+			// itself once more, so that a refutation that got lost on the way
+			// here, or came by gossip's chance alone, still arrives.
+			e.susp.called = now
+			n.send(e.Addr, Message{Kind: Ping, Target: name, Rumors: []Rumor{e.Rumor}}, now, true)
+		case e.State == Suspect && e.susp != nil && now >= e.susp.ends() && now >= e.susp.called+2*n.cfg.ProbeTimeoutMs:
 			n.stats.Declared++
 			r := e.Rumor
 			r.State, r.By = Dead, n.self.Name
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -14,6 +14,9 @@
 // partition find each other), and to a seed while nobody is known.
 func (n *Node) pushPull(now int64) {
 	n.nextSync = now + n.cfg.SyncMs
+	if now < n.behind {
+		n.nextSync = now + n.cfg.PeriodMs
+	}
 	n.syncs++
 	to := ""
 	if n.syncs%n.cfg.ReconnectEvery == 0 {
@@ -37,14 +40,34 @@
 	if to == "" {
 		return
 	}
+	if now < n.behind { // it asks, and has little to tell: its answers go on where the last ended
+		n.send(to, Message{Kind: Sync, After: n.pull, Count: len(n.members), Rumors: []Rumor{n.self}}, now, false)
+		return
+	}
 	n.cursor = n.sendSync(to, n.cursor, now)
 }
 
+// compared takes what a peer's page tells of how much its sender knows: a
+// member that knows less asks page after page, every period instead of every
+// SyncMs, until for a while it has met nobody who knows more.
+func (n *Node) compared(m Message, now int64) {
+	if m.Count > len(n.members) {
+		n.behind = now + 3*n.cfg.SyncMs
+	}
+	if m.Kind != SyncReply {
+		return
+	}
+	n.pull = ""
+	if k := len(m.Rumors); k > 0 && m.Rumors[k-1].Name > m.After {
+		n.pull = m.Rumors[k-1].Name
+	}
+}
+
 // sendSync sends the page of names after after; it returns where the next
 // page starts ("" once the names came round).
 func (n *Node) sendSync(to, after string, now int64) string {
-	m := Message{Kind: Sync, After: after}
-	last := n.page(&m, to, after)
+	m := Message{Kind: Sync, After: after, Count: len(n.members)}
+	last := n.page(&m, to, after, n.cfg.MaxPacket)
 	n.send(to, m, now, false)
 	return last
 }
@@ -53,19 +76,25 @@
 	if n.leaving {
 		return
 	}
-	m := Message{Kind: SyncReply, After: in.After}
-	n.page(&m, from, in.After)
+	m := Message{Kind: SyncReply, After: in.After, Count: len(n.members)}
+	if in.Count == 0 && len(n.names) > 0 { // names drawn anywhere, or all newcomers would ask the first few
+		m.After = n.names[n.rng.IntN(len(n.names))]
+	}
+	// What the budget leaves makes a shorter page rather than none: of many
+	// that join through one seed each hears of a few members, and asks those.
+	n.fill(now)
+	n.page(&m, from, m.After, min(n.cfg.MaxPacket, max(n.cfg.MaxPacket/3, int(n.tokens)/2)))
 	n.send(from, m, now, false)
 }
 
 // page fills m with this member's own rumor, what it holds of the member at
 // addr, and the names after after, as many as fit; it returns the last name
 // put in, or "" if the page reached the end.
-func (n *Node) page(m *Message, addr, after string) string {
+func (n *Node) page(m *Message, addr, after string, most int) string {
 	m.Rumors = append(m.Rumors, n.self)
-	room := n.cfg.MaxPacket - m.size()
+	room := most - m.size()
 	for _, name := range n.order {
-		if e := n.members[name]; e != nil && e.Addr == addr {
+		if e := n.members[name]; e != nil && e.Addr == addr && e.Rumor.size() <= room {
 			m.Rumors = append(m.Rumors, e.Rumor)
 			room -= e.Rumor.size()
 		}
--- a/internal/membership/wire/wire.go
+++ b/internal/membership/wire/wire.go
@@ -41,6 +41,7 @@
 	After      string  `cbor:"6,keyasint,omitempty"`
 	Rumors     []rumor `cbor:"7,keyasint,omitempty"`
 	Payload    []byte  `cbor:"8,keyasint,omitempty"`
+	Count      uint32  `cbor:"9,keyasint,omitempty"`
 }
 
 // Codec encodes and decodes packets; one is safe for concurrent use.
@@ -73,7 +74,7 @@
 
 // Encode turns m into a packet.
 func (c *Codec) Encode(m membership.Message) ([]byte, error) {
-	p := packet{V: version, Kind: uint8(m.Kind), Seq: m.Seq, From: m.From, Target: m.Target, TargetAddr: m.TargetAddr, After: m.After, Payload: m.Payload}
+	p := packet{V: version, Kind: uint8(m.Kind), Seq: m.Seq, From: m.From, Target: m.Target, TargetAddr: m.TargetAddr, After: m.After, Payload: m.Payload, Count: uint32(max(0, m.Count))}
 	for _, r := range m.Rumors {
 		p.Rumors = append(p.Rumors, rumor{r.Name, r.Addr, r.Zone, r.Start, r.Inc, uint8(r.State), r.By})
 	}
@@ -100,7 +101,7 @@
 	if p.Kind < uint8(membership.Ping) || p.Kind > uint8(membership.Carried) {
 		return membership.Message{}, fmt.Errorf("membership packet: kind %d, want 1 to %d", p.Kind, membership.Carried)
 	}
-	m := membership.Message{Kind: membership.Kind(p.Kind), Seq: p.Seq, From: p.From, Target: p.Target, TargetAddr: p.TargetAddr, After: p.After, Payload: p.Payload}
+	m := membership.Message{Kind: membership.Kind(p.Kind), Seq: p.Seq, From: p.From, Target: p.Target, TargetAddr: p.TargetAddr, After: p.After, Payload: p.Payload, Count: int(p.Count)}
 	for i, r := range p.Rumors {
 		if r.State > uint8(membership.Left) || r.Name == "" {
 			return membership.Message{}, fmt.Errorf("membership packet: rumor %d: state %d or name %q", i, r.State, r.Name)
