--- a/internal/fleetstate/counts.go
+++ b/internal/fleetstate/counts.go
@@ -163,6 +163,15 @@
 	})
 }
 
+// all copies every entry, the own one first.
+func (c *Counts) all() []Entry {
+	out := append([]Entry{c.own}, c.entries...)
+	for i := range out {
+		out[i].Cells = slices.Clone(out[i].Cells)
+	}
+	return out
+}
+
 // page returns the own entry and the others that fit into room bytes, those
 // first that were told least often since they changed: news spreads as gossip
 // does, and what is old goes round again.
--- a/internal/fleetstate/link/link.go
+++ b/internal/fleetstate/link/link.go
@@ -199,7 +199,7 @@
 	m := map[string]uint64{
 		"shared_messages_sent": l.Sent.Load(), "shared_messages_received": l.Received.Load(), "shared_bytes_sent": l.Bytes.Load(),
 		"shared_messages_malformed": l.Malformed.Load(), "shared_strangers": p.Dropped, "shared_counters_refused": p.Refused,
-		"shared_routers_counted": uint64(p.Counted), "shared_judgements": uint64(len(p.Judged)), "shared_size": uint64(p.Routers),
+		"shared_routers_counted": uint64(len(p.Counters)), "shared_judgements": uint64(len(p.Judged)), "shared_size": uint64(p.Routers),
 		"shared_leases_lent": uint64(len(p.Lent)), "shared_leases_held": uint64(len(p.Held)),
 	}
 	for i, c := range classes {
--- a/internal/fleetstate/node.go
+++ b/internal/fleetstate/node.go
@@ -393,8 +393,8 @@
 	Lent     map[string]float64
 	Held     map[string]float64
 	Repeats  Share
-	Totals   Cells // class*5 + kind
-	Counted  int   // routers and lives whose counters are kept apart
+	Totals   Cells   // class*5 + kind
+	Counters []Entry // of each router and life kept apart, this one first
 	Judged   []Judgement
 	Standing map[string]float64 // of peers whose claims proved wrong
 	Refused  uint64             // counters not taken
@@ -405,7 +405,7 @@
 func (n *Node) Page(now int64) Page {
 	a := n.advice
 	p := Page{Routers: n.size, Shares: a.Shares, Stake: 1 / float64(n.size), Lent: map[string]float64{}, Held: map[string]float64{}, Repeats: a.Repeats,
-		Totals: n.Totals(), Counted: 1 + len(n.counts.entries), Judged: a.Judged, Standing: map[string]float64{}, Refused: n.counts.Refused, Dropped: n.Dropped}
+		Totals: n.Totals(), Counters: n.counts.all(), Judged: a.Judged, Standing: map[string]float64{}, Refused: n.counts.Refused, Dropped: n.Dropped}
 	for k, l := range n.leases.lent {
 		p.Lent[k] = sum(l, now)
 	}
