Play the same arrivals and answers alone and together; one way to report a drill

The test of a hung host drew arrivals, answers and the network from one source, so that cases in which no hearsay is taken differed from alone by chance (29 and 27, 285 and 277); each router now has its own.

--- a/cmd/lotuslab/fleetview.go
+++ b/cmd/lotuslab/fleetview.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"os"
 
@@ -59,13 +57,5 @@
 	if err != nil {
 		return err
 	}
-	line, err := json.Marshal(res)
-	if err != nil {
-		return err
-	}
-	fmt.Println(string(line))
-	if !res.OK {
-		return errFault
-	}
-	return nil
+	return report(res, res.OK)
 }
--- a/cmd/lotuslab/main.go
+++ b/cmd/lotuslab/main.go
@@ -111,12 +111,17 @@
 	if ctx.Err() != nil {
 		return errors.New("interrupted")
 	}
+	return report(res, res.OK)
+}
+
+// report prints what a drill found as one line of JSON; a fault is an error.
+func report(res any, ok bool) error {
 	line, err := json.Marshal(res)
 	if err != nil {
 		return err
 	}
 	fmt.Println(string(line))
-	if !res.OK {
+	if !ok {
 		return errFault
 	}
 	return nil
--- a/internal/fleetstate/hang_test.go
+++ b/internal/fleetstate/hang_test.go
@@ -30,7 +30,7 @@
 type hangFleet struct {
 	loop    *clock.Loop
 	clk     *clock.Clock
-	rng     *rand.Rand
+	rng     *rand.Rand // of the network: arrivals and answers have their own, the same alone and together
 	routers []*hangRouter
 	hung    uint32  // the host that hangs
 	from    float64 // ms, its hang
@@ -49,6 +49,8 @@
 	sent  map[slots.Ref]*sentTo
 	next  uint32
 	liar  bool
+	come  *rand.Rand // arrivals
+	take  *rand.Rand // how long answers take
 
 	swallowed int // attempts, by the hang
 }
@@ -85,7 +87,8 @@
 	}
 	f.loop.Do(func() {
 		for i := range routers {
-			h := &hangRouter{f: f, name: names[i], liar: i < liars, sent: map[slots.Ref]*sentTo{}}
+			h := &hangRouter{f: f, name: names[i], liar: i < liars, sent: map[slots.Ref]*sentTo{},
+				come: rand.New(rand.NewPCG(seed, uint64(2*i+1))), take: rand.New(rand.NewPCG(seed, uint64(2*i+2)))}
 			r, err := router.New(f.loop, cfg, seed*1000+uint64(i))
 			if err != nil {
 				panic(err)
@@ -115,7 +118,7 @@
 	})
 	f.loop.Do(func() {
 		for _, h := range f.routers {
-			f.loop.At(f.loop.Now()+f.rng.Float64()*50, h.arrive)
+			f.loop.At(f.loop.Now()+h.come.Float64()*50, h.arrive)
 			if together {
 				f.loop.At(f.loop.Now()+f.rng.Float64()*100, h.observe)
 			}
@@ -134,8 +137,8 @@
 // arrive brings a request, 20 a second at each router, and the next one.
 func (h *hangRouter) arrive() {
 	f := h.f
-	h.r.Submit(router.Request{Class: 0, Group: f.rng.IntN(hangGroup), Wait: 1200}, h, slots.Ref{})
-	f.loop.At(f.loop.Now()+f.rng.ExpFloat64()*50, h.arrive)
+	h.r.Submit(router.Request{Class: 0, Group: h.come.IntN(hangGroup), Wait: 1200}, h, slots.Ref{})
+	f.loop.At(f.loop.Now()+h.come.ExpFloat64()*50, h.arrive)
 }
 
 // observe tells the shared state what was seen, and takes its advice.
@@ -189,7 +192,7 @@
 		h.swallowed++
 		return ref
 	}
-	s.end = f.loop.At(now+f.work[0]+f.rng.Float64()*(f.work[1]-f.work[0]), func() {
+	s.end = f.loop.At(now+f.work[0]+h.take.Float64()*(f.work[1]-f.work[0]), func() {
 		if h.sent[ref] == nil || host == f.hung && f.loop.Now() >= f.from && f.loop.Now() < f.to {
 			return
 		}
