Never judge a group's primary by hearsay; put a trial off for 20 s at most

A primary's open breaker closes by a trial, and hearsay put that off for up to 40 s, though writes and fresh reads have nowhere else to go (judge.go, the case own). A primary is now left to this router alone; another host's trial is put off for twice the drawn time of a claim.

--- a/internal/fleetstate/judge.go
+++ b/internal/fleetstate/judge.go
@@ -103,7 +103,6 @@
 	wrongCosts   = 0.5         // of a peer's standing, for a claim that proved wrong
 	rightEarns   = 0.1         // back, for one that proved right
 	heals        = 1.0 / 60000 // and back with each millisecond: a minute for all of it
-	postponed    = 2           // HearsayMs that a trial of a host found bad here may be put off
 )
 
 func newJudge(cfg Config, now int64) *Judge {
@@ -323,8 +322,10 @@
 		switch {
 		case !h.Ready:
 			continue
+		case h.Leads: // nobody takes its place for writes and fresh reads: its trials are not put off
+			continue
 		case own: // its breaker is open: others' fresher evidence puts its trial off, for a while
-			c.Until = min(now+j.cfg.HintMs, h.BadAt+postponed*j.cfg.HearsayMs)
+			c.Until = min(now+j.cfg.HintMs, h.BadAt+2*d.claimMs)
 			if newest <= h.BadAt || c.Until <= now {
 				continue
 			}
--- a/internal/fleetstate/judge_test.go
+++ b/internal/fleetstate/judge_test.go
@@ -120,11 +120,27 @@
 			last = x.Until
 		}
 	}
-	if most := 1000 + postponed*j.cfg.HearsayMs; last == 0 || last > most {
+	if most := 1000 + 2*j.cfg.ClaimMs; last == 0 || last > most {
 		t.Errorf("trials were put off until %d, want some time up to %d", last, most)
 	}
 }
 
+// A primary's trials are never put off, and it is never passed over: nobody
+// takes its place.
+func TestAPrimaryIsNotJudgedByHearsay(t *testing.T) {
+	for _, bad := range []ClaimKind{0, Hangs} {
+		hosts := group3()
+		hosts[1].Leads, hosts[1].Bad, hosts[1].BadAt = true, bad, 1000
+		j := judgeOf(hosts...)
+		for _, p := range []string{"p", "q", "r"} {
+			j.hear(p, Claim{"b", Hangs, 0}, 1200)
+		}
+		if got := judged(j, 1200); got != "" {
+			t.Errorf("judged %q, the group's primary", got)
+		}
+	}
+}
+
 func TestAHeardLeaderIsOnlyForWhoSeeks(t *testing.T) {
 	hosts := group3()
 	j := judgeOf(hosts...)
