--- a/decide/decide.go
+++ b/decide/decide.go
@@ -747,11 +747,17 @@
 	return t
 }
 
-// draw picks by 1 / (smoothed latency x (in flight + 1)); members not heard yet take the router's latency.
+// draw picks by 1 / (smoothed latency x (in flight + 1)); members not heard yet take the others' mean.
 func (r *Router) draw(ms []*member) *member {
+	var sum, heard time.Duration
+	for _, m := range ms {
+		if m.latency > 0 {
+			sum, heard = sum+m.latency, heard+1
+		}
+	}
 	total := 0.0
 	for _, m := range ms {
-		m.weight = 1 / (r.latencyOf(m).Seconds() * float64(m.out+1))
+		m.weight = 1 / (cmp.Or(m.latency, sum/max(heard, 1), r.latency).Seconds() * float64(m.out+1))
 		total += m.weight
 	}
 	x := r.rng.Float64() * total
