Follow the list through silence, resets and lists that end with their connection

Seen by reading and by tests on scripted connections: a call without a wait had the 12 s of one that waits, while what a silent watch misses counts as told after 6 s; a list without a length was an error; a head without an end was held in memory without a bound; in push mode up to 1.5 s passed between two failed calls; a list whose index went back was waited for. Ruled out by a probe: indented lists were read all along, and netpoll cannot tell a reset from an end (both are ErrEOF in its onHup), so such a list could not be read on it at all.

--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -96,13 +96,13 @@
 		n.news(list)
 	}}
 	cfg := n.config.Settings.Config
-	w.Pace = pace.New(pace.Config{
+	w.Watch = pace.NewWatch(pace.Config{
 		Routers: cfg.Routers, MustAsk: cfg.MustAsk, AskWithin: clock.Millis(cfg.AskWithin),
 	}, n.config.Seed+uint64(len(n.watches)))
 	// Another address may count its lists otherwise, so only the first goes on
 	// from what the configuration holds.
 	if known := n.config.Known; cfg.MustAsk && len(n.watches) == 1 && len(known.Hosts) > 0 {
-		w.Index, w.Resumes = known.Index, true
+		w.Watch.Resume(known.Index)
 	}
 	go w.Run(ctx)
 }
--- a/internal/discovery/pace/pace.go
+++ b/internal/discovery/pace/pace.go
@@ -14,8 +14,9 @@
 	// in milliseconds, until failures tell that it is more. It is also the
 	// first wait where nothing must be asked for.
 	aCall = 50
-	// pushMost bounds the waits where the list comes by itself.
-	pushMost = 1000
+	// pushMost bounds the waits where the list comes by itself: what the agent
+	// has counts as told, heard or not, and asking it costs nothing.
+	pushMost = 200
 	// failedShare of the time to ask within bounds the waits after failures:
 	// the settings allow four times that time after a failed call, and the
 	// draw adds up to a half.
--- /dev/null
+++ b/internal/discovery/pace/watch.go
@@ -0,0 +1,104 @@
+package pace
+
+import "math/rand/v2"
+
+// A watch that falls silent is broken, though nothing says so, and what it
+// misses counts as told a while after: 6 s, or 2 s after the time for which
+// the service was asked to wait, if that is later. Every call is given up well
+// before that.
+const (
+	// pushWait is how long, in milliseconds, one call may wait for news where
+	// the list comes by itself: the agent that answers is on this machine, and
+	// a call costs nothing.
+	pushWait = 4000
+	// askWait is the same where one service answers all: there a call is work.
+	askWait = 10000
+	// pushSlack and askSlack are what an answer may take beyond that. The
+	// service of many may be behind with them.
+	pushSlack, askSlack = 1000, 1500
+	// wholeLimit is what a call for the whole list may take, which waits for
+	// nothing.
+	wholeLimit = 4000
+	// silentRest bounds the rest after a call that was given up: that took its
+	// time already.
+	silentRest = 300
+)
+
+// Failure is how a call failed.
+type Failure uint8
+
+// Failures of a call.
+const (
+	Broken     Failure = iota // no connection, or it broke, or what came is no HTTP
+	Silent                    // it took too long
+	Busy                      // the service said so: every call may hear it
+	Refused                   // another status: the index may be at fault
+	Unreadable                // what came is no list
+)
+
+// Call is one call for the list.
+type Call struct {
+	Resumes bool    // for what has changed since Index, else for the whole
+	Index   uint64  //
+	Wait    float64 // how long the service may wait for news, in milliseconds
+	Limit   float64 // when the call is given up
+}
+
+// Watch is one router's watch of the list: which call comes next, and when.
+type Watch struct {
+	pace    *Pace
+	rng     *rand.Rand
+	ask     bool
+	resumes bool
+	index   uint64
+}
+
+// NewWatch returns a watch that has no list yet.
+func NewWatch(c Config, seed uint64) *Watch {
+	p := New(c, seed)
+	return &Watch{pace: p, rng: p.rng, ask: c.MustAsk}
+}
+
+// Resume says that the router holds the list of that index: only what has
+// changed since is asked for. A whole list is more work for the service, and
+// all ask for it at once after a restart of many.
+func (w *Watch) Resume(index uint64) { w.index, w.resumes = index, true }
+
+// First returns how long to wait before the first call, in milliseconds.
+func (w *Watch) First() float64 { return w.pace.First(w.resumes) }
+
+// Call returns the next call.
+func (w *Watch) Call() Call {
+	switch {
+	case !w.resumes:
+		return Call{Limit: wholeLimit}
+	case w.ask:
+		return Call{Resumes: true, Index: w.index, Wait: askWait, Limit: askWait + askSlack}
+	}
+	return Call{Resumes: true, Index: w.index, Wait: pushWait, Limit: pushWait + pushSlack}
+}
+
+// Listed takes an answer to call c, that took so long, and returns how long to
+// wait before the next call. A service that answers a waiting call at once, and
+// with nothing, must not be asked without a rest. One whose index went back has
+// started anew: what it will tell would be waited for in vain.
+func (w *Watch) Listed(c Call, index uint64, whole, news bool, took float64) float64 {
+	w.resumes = whole || !c.Resumes || index >= c.Index
+	w.index = index
+	if c.Resumes && !whole && (!news || !w.resumes) && took < c.Wait/2 {
+		return w.pace.Failed()
+	}
+	w.pace.Heard()
+	return 0
+}
+
+// Failed takes a call's failure and returns how long to wait before the next.
+func (w *Watch) Failed(f Failure) float64 {
+	switch f {
+	case Silent:
+		return silentRest * w.rng.Float64()
+	case Refused, Unreadable:
+		w.resumes = false
+	}
+	return w.pace.Failed()
+}
