Let a request's first attempt look for the primary where few attempts are allowed

A group whose primary has gone is asked by a held write, but only by one with more than three attempts left over: where the settings allow one to three in all, none ever looked and the group took no write again until the list named a primary, which some lists never do. Seen by reading (scout: len(attempts)+keepTries < MaxAttempts) and by the test, which fails at one to three attempts without the bound; ruled out: trials of an open breaker, which only reads that may be repeated make.

The random histories play one attempt, too.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -449,17 +449,16 @@
 	} else if o == Spoilt || (o == Reset && m.fails == 1) || (o == Error && took < r.latencyOf(m)/4) {
 		cost = brokenCost
 	}
-	if o == Rejected { // and a repeat would fare no better
+	switch {
+	case o == Rejected: // and a repeat would fare no better
 		r.act.Fail(q.ID)
 		r.finish(q)
-		return
-	}
-	if r.budget < cost || !r.maySend(q, nil, now) || r.hopeless(q, now) {
+	case r.budget < cost, !r.maySend(q, nil, now), r.hopeless(q, now):
 		r.giveUp(q)
-		return
+	default:
+		r.budget -= cost
+		r.route(q, now)
 	}
-	r.budget -= cost
-	r.route(q, now)
 }
 
 // hopeless tells whether q could no longer be of worth if it were sent now.
@@ -528,12 +527,11 @@
 			}
 		}
 	}
-	if q.done || q.streaming {
-		return
-	}
-	if now >= q.expires || (q.out == 0 && now+2*beat >= q.expires) {
+	switch {
+	case q.done, q.streaming:
+	case now >= q.expires, q.out == 0 && now+2*beat >= q.expires:
 		r.giveUp(q)
-	} else if q.out == 1 {
+	case q.out == 1:
 		r.replace(q, now)
 	}
 }
@@ -660,12 +658,10 @@
 // suffer. It answers replicas out of the gate and all that crowds primaries. It could hurt where one alone is
 // slow.
 func (r *Router) adapt(m *member, a *attempt, used float64, now time.Duration) {
-	if m == m.g.primary {
-		if now-a.sent >= r.primaryAim {
-			r.spill *= spillCut
-		} else {
-			r.spill = min(1, r.spill*(1+spillGain))
-		}
+	if m == m.g.primary && now-a.sent >= r.primaryAim {
+		r.spill *= spillCut
+	} else if m == m.g.primary {
+		r.spill = min(1, r.spill*(1+spillGain))
 	}
 	if used <= goodAim && float64(m.out) >= m.limit/2 {
 		m.limit += 1 / m.limit
@@ -848,24 +844,15 @@
 			to = m
 		}
 	}
-	if to == nil {
-		return
-	}
-	may := func(c Consistency) func(*request) bool {
-		return func(q *request) bool {
-			return q.held && q.class.Consistency == c && len(q.attempts)+keepTries < r.cfg.MaxAttempts &&
-				r.maySend(q, to, now)
-		}
-	}
-	i := slices.IndexFunc(g.held, may(Write))
-	if i < 0 && r.cfg.Check != Unchecked && now >= max(g.soughtAt, g.scoutAt)+readsSeek {
-		i = slices.IndexFunc(g.held, may(Fresh))
-	}
-	if i < 0 {
-		return
+	reads := r.cfg.Check != Unchecked && now >= max(g.soughtAt, g.scoutAt)+readsSeek
+	tries := max(r.cfg.MaxAttempts-keepTries, 1) // where few are allowed, the first may look
+	if i := slices.IndexFunc(g.held, func(q *request) bool {
+		return q.held && (q.class.Consistency == Write || reads && q.class.Consistency == Fresh) &&
+			to != nil && len(q.attempts) < tries && r.maySend(q, to, now)
+	}); i >= 0 {
+		r.send(g.held[i], to, now)
+		g.scoutAt, to.scoutedAt = now+scoutPace, now
 	}
-	r.send(g.held[i], to, now)
-	g.scoutAt, to.scoutedAt = now+scoutPace, now
 }
 
 // Admission and queueing.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -792,9 +793,14 @@
 	if lines > maxLines {
 		t.Errorf("%d lines, at most %d", lines, maxLines)
 	}
-	others, err := filepath.Glob("*.go")
-	if err != nil || len(others) > 6 { // api.go, which decides nothing, and the tests
-		t.Errorf("files in the package: %v, %v", others, err)
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files { // api.go decides nothing
+		if f != "decide.go" && f != "api.go" && !strings.HasSuffix(f, "_test.go") {
+			t.Errorf("a decision may stand in %s, of which the lines are not counted", f)
+		}
 	}
 }
 
@@ -932,7 +938,7 @@
 	if cfg.Check != Unchecked {
 		cfg.Positions, cfg.Carried, cfg.Patience = coin(), coin(), 50*ms
 	}
-	cfg.MustAsk, cfg.MaxAttempts = coin(), 2+rng.IntN(8)
+	cfg.MustAsk, cfg.MaxAttempts = coin(), 1+rng.IntN(9)
 	cfg.RemovalBinds, cfg.Routers = coin(), rng.IntN(150)
 	for i := range cfg.Classes {
 		cfg.Classes[i].LateWorth = float64(rng.IntN(2)) / 2
