Ask the module again when an attempt that waited for its connection is written

It was written then whatever had happened: seen in tests with a host that holds back its welcome, the statement went to a host that the list had told to drain, to a replica whose last position had left the bound meanwhile (where replicas serve unchecked), and a repeat went out up to 250 ms after its key's window. Ruled out: a client that has gone takes its attempt along, wherever it waits (test added), and 'not begun' is only said of an attempt without a connection.

The pool now asks at the moment of the write (back.Pool.ready), the router passes it on and the module answers (MayLeave): member ready, client waiting, window open, data young enough. What may not leave ends as never sent, and the module sends it elsewhere. Repeats keep a beat of 10 ms off the window's end for the way to the host.

--- /dev/null
+++ b/cmd/lotusbend/leave_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"lotusbend/internal/postgres/wire"
+)
+
+// slow takes a router's connection to a host that does not come up until told.
+func slow(t *testing.T, l net.Listener) *peer {
+	t.Helper()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newPeer(t, c)
+	if _, err := io.ReadFull(p.in, make([]byte, len(wire.AppendStartup(nil, "app", "shop")))); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func (p *peer) comesUp() { p.write(wire.AppendReady(wire.AppendAuthenticationOk(nil))) }
+
+// An attempt may wait for its connection while the list tells that its host
+// drains: it must not be written there then.
+func TestAttemptThatWaitedIsNotWrittenToAHostThatDrains(t *testing.T) {
+	primary, replica := listen(t), listen(t)
+	w := newWorld(t, 100, endpoint("p", primary, "off", "ready"), endpoint("r", replica, "on", "ready"))
+	d := agent(t, w.discovery)
+	d.tell("/v1/endpoints", fmt.Sprintf(`{"index":4,"snapshot":true,"endpoints":[%s,%s]}`,
+		endpoint("p", primary, "off", "ready"), endpoint("r", replica, "on", "ready")))
+	p := w.client()
+	p.query(view)
+	r := slow(t, replica)
+	d.tell("/v1/endpoints?after=4&wait_ms=4000", fmt.Sprintf(`{"index":5,"snapshot":false,"endpoints":[%s]}`,
+		endpoint("r", replica, "on", "draining")))
+	if _, err := d.in.Peek(1); err != nil { // the next call: the news was taken
+		t.Fatal(err)
+	}
+	r.comesUp()
+	if kind, _ := r.message(); kind != 0 {
+		t.Error("the draining host got the statement")
+	}
+	accept(t, primary).serve("fresh", "off")
+	p.want(p.answer(), "fresh")
+}
+
+// Nor is it written for a client that has gone: the connection is there for the
+// next one.
+func TestAttemptThatWaitedIsNotWrittenForAClientThatHasGone(t *testing.T) {
+	l := listen(t)
+	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
+	gone, next := w.client(), w.client()
+	gone.query(write)
+	h := slow(t, l)
+	_ = gone.c.Close()
+	w.until(func() bool { return w.node.router.Open() == 0 })
+	h.comesUp()
+	next.query(strings.Replace(write, "9b20", "9b21", 1))
+	next.want(h.serve("next", "off"), "9b21")
+	next.want(next.answer(), "next")
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -401,10 +401,23 @@
 	case q.class.Repeat == Pure, !q.mayHaveRun && q.out == 0:
 		return true
 	}
-	return q.class.Repeat == Keyed && now < q.ranSince+q.class.KeyTTL &&
+	return q.class.Repeat == Keyed && now+beat < q.ranSince+q.class.KeyTTL &&
 		(q.class.Scope != ScopeZone || m == nil || m.Zone == q.ranZone)
 }
 
+// MayLeave tells whether an attempt that waited for its connection may be written now: its member may drain
+// by then, the key's window have ended, the data have grown too old.
+func (r *Router) MayLeave(now time.Duration, id uint64, n int) bool {
+	q := r.requests[id]
+	if q == nil || q.done || now >= q.expires || q.attempts[n].m.State != Ready {
+		return false
+	}
+	m, again := q.attempts[n].m, q.mayHaveRun || q.out > 1
+	return (!again || q.class.Repeat == Pure || now+beat < q.ranSince+q.class.KeyTTL) &&
+		(r.cfg.Check != Unchecked || q.class.Consistency == Write || m == q.g.primary ||
+			(q.class.Consistency > Fresh && r.fresh(q, m, now)))
+}
+
 // mayRefuse is its counterpart for a refusal, which invites a repeat.
 func (q *request) mayRefuse() bool {
 	return q.class.Repeat == Pure || (!q.mayHaveRun && q.out == 0) ||
--- a/internal/postgres/back/back.go
+++ b/internal/postgres/back/back.go
@@ -25,6 +25,9 @@
 
 // Events takes what becomes of attempts and probes, inside the loop's Do.
 type Events interface {
+	// MayLeave tells whether an attempt that waited for its connection may be
+	// written now: its right to be sent may have ended meanwhile.
+	MayLeave(router.Attempt) bool
 	Ended(router.Attempt, router.Report)
 	Probed(host uint32, rep router.Report)
 }
@@ -315,13 +318,17 @@
 func (p *Pool) ready(c *conn) {
 	h := c.host
 	fit := c.address == h.address && c.link.Quiet()
-	switch {
-	case fit && len(h.waiting) > 0:
-		h.coming--
+	for fit && len(h.waiting) > 0 {
 		j := h.waiting[0]
 		h.waiting = h.waiting[1:]
-		p.write(c, j)
-		return
+		if j.probe || p.events.MayLeave(j.attempt) {
+			h.coming--
+			p.write(c, j)
+			return
+		}
+		p.report(j, router.Report{Outcome: decide.Moot})
+	}
+	switch {
 	case !fit, !h.usable, c.purges != h.purges:
 		p.close(c)
 		p.refill(h)
--- a/internal/postgres/back/back_test.go
+++ b/internal/postgres/back/back_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"lotusbend/decide"
 	"lotusbend/internal/clock"
 	"lotusbend/internal/netio"
 	"lotusbend/internal/router"
@@ -18,13 +19,15 @@
 	in *netpoll.LinkBuffer
 }
 
-func (l *link) Fd() int                { return l.fd }
-func (l *link) Reader() netpoll.Reader { return l.in }
-func (l *link) Close() error           { return nil }
+func (l *link) Fd() int                     { return l.fd }
+func (l *link) Reader() netpoll.Reader      { return l.in }
+func (l *link) Close() error                { return nil }
+func (l *link) Write(b []byte) (int, error) { return syscall.Write(l.fd, b) }
 
 // deaf hears of nothing.
 type deaf struct{}
 
+func (deaf) MayLeave(router.Attempt) bool        { return true }
 func (deaf) Ended(router.Attempt, router.Report) {}
 func (deaf) Probed(uint32, router.Report)        {}
 
@@ -64,3 +67,46 @@
 		_, _ = syscall.Close(pair[0]), syscall.Close(pair[1])
 	}
 }
+
+// clerk notes what becomes of attempts; some may not leave.
+type clerk struct {
+	deaf
+	stays int // the number of the attempt that may not
+	ended []router.Attempt
+	as    []decide.Outcome
+}
+
+func (c *clerk) MayLeave(a router.Attempt) bool { return a.Number != c.stays }
+func (c *clerk) Ended(a router.Attempt, rep router.Report) {
+	c.ended, c.as = append(c.ended, a), append(c.as, rep.Outcome)
+}
+
+// An attempt whose right to be sent has ended while it waited is not written
+// when its connection comes up: it never left. The next one gets the connection.
+func TestWhatMayNotLeaveIsNotWritten(t *testing.T) {
+	pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := &clerk{stays: 1}
+	p := New(clock.NewLoop(clock.Manual(1000)), Options{}, netio.NewBudget(100), events)
+	p.SetHost(1, "127.0.0.1:1", true)
+	h := p.hosts[1]
+	p.loop.Do(func() {
+		c := &conn{pool: p, host: h, address: h.address, phase: opening, link: netio.NewConn(&link{fd: pair[0], in: netpoll.NewLinkBuffer()})}
+		c.ref = p.conns.Add(c)
+		h.coming = 9 // nothing is dialled for those that wait
+		for n := 1; n <= 2; n++ {
+			text := []byte{'a' + byte(n)}
+			p.Send(1, router.Attempt{Number: n}, router.Statement{Text: text, To: 1}, 100)
+		}
+		p.ready(c)
+		if c.job == nil || c.job.attempt.Number != 2 || len(h.waiting) > 0 || h.coming != 8 {
+			t.Errorf("job %+v, %d wait, %d come", c.job, len(h.waiting), h.coming)
+		}
+	})
+	if len(events.ended) != 1 || events.ended[0].Number != 1 || events.as[0] != decide.Moot {
+		t.Errorf("ended %+v as %v", events.ended, events.as)
+	}
+	_, _ = syscall.Close(pair[0]), syscall.Close(pair[1])
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -227,6 +227,14 @@
 	r.release(a.Request, q)
 }
 
+// MayLeave tells whether an attempt that waited for its connection may still be
+// written. What is reported instead goes back to the module.
+func (r *Router) MayLeave(a Attempt) bool {
+	q := r.requests.Get(a.Request)
+	return q != nil && a.Number < len(q.attempts) && q.attempts[a.Number].out &&
+		r.module.MayLeave(r.now(), q.id, a.Number)
+}
+
 // Probed takes the end of a probe.
 func (r *Router) Probed(host uint32, rep Report) {
 	r.module.Probed(r.now(), decide.ProbeResult{Member: host, Outcome: rep.Outcome, Note: rep.Note})
