End clients' connections one way: half-closed when quiet, answers first, faults in turn

Seen by reading and in tests that force the crossing (the loop held while bytes come): - a statement that had been read but not taken up when a drain or a close began was dropped: the reader took it off the buffer outside the loop, where Quiet did not see it; - an idle connection was closed in another goroutine after Quiet, with a reset over what came between; whoever made room for another client was reset always; - a malformed, oversized or last message behind a statement under way ended the connection before that one's answer; - an answer that could not be written let the next statement of its client be sent on; - statements that came on a busy connection long after the drain began were sent on; - a flood of small messages grew the read buffer without a bound: netpoll reads on; - a given-up attempt's connection was closed in another goroutine, so that a second copy could be written before the host heard of the first one's end. Ruled out: a client that goes is heard at once, with statements ahead and half a message (test); TCP_NODELAY is on, on both sides (test).

netio.Conn is the one state machine of a close (Finish, FinishQuiet, Close), front/closing its one user for clients; messages are taken off the buffer inside the loop. TestQuietClientsAreLetGo lets the second pass that such a client now has; before, it was cut at once.

--- a/cmd/lotusbend/story_test.go
+++ b/cmd/lotusbend/story_test.go
@@ -692,6 +692,7 @@
 	w.pass(10000)
 	idle.want(idle.answer(), "closed")
 	busy.want(busy.answer(), "closed")
+	w.pass(1000) // that they may take to go after they heard so; none of them does by itself
 	w.until(func() bool { clients, _ := w.node.budget.Open(); return clients == 0 })
 }
 
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -94,6 +94,11 @@
 func (c *Conn) Quiet() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.quiet()
+}
+
+// quiet is called with the lock held.
+func (c *Conn) quiet() bool {
 	if c.closed || c.closing {
 		return false
 	}
@@ -107,29 +112,34 @@
 	return !ok || r.Reader().Len() == 0
 }
 
-// Close ends the connection now. Close callbacks of the netpoll connection
-// run in another goroutine.
-func (c *Conn) Close() {
+// A connection's close, one way for all: while open it takes what is sent;
+// Finish and FinishQuiet end that, the system still takes what was sent, and
+// then this side's sending ends (a half-close); the peer ends the connection,
+// or its owner does with Close when the peer takes too long. Closing at once
+// while the peer's bytes come in would reset the connection, and the reset may
+// overtake what was sent last.
+
+// Finish ends this side's sending once all that was sent is with the system.
+func (c *Conn) Finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed {
-		c.abort()
-	}
+	c.finish()
 }
 
-// abort is called with the lock held. netpoll runs close callbacks inside
-// Close, and those take the owner's lock: hence the goroutine.
-func (c *Conn) abort() {
-	c.closed = true
-	go func() { _ = c.nc.Close() }()
-}
-
-// Finish ends this side's sending once all that was sent is with the system.
-// The peer ends the connection: closing it while the peer's bytes come in
-// would reset it, and the reset may overtake what was sent last.
-func (c *Conn) Finish() {
+// FinishQuiet is Finish where the peer has sent nothing that was not read, and
+// tells whether it was: what comes from then on has crossed our end.
+func (c *Conn) FinishQuiet() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.quiet() {
+		return false
+	}
+	c.finish()
+	return true
+}
+
+// finish is called with the lock held.
+func (c *Conn) finish() {
 	if c.closed || c.closing {
 		return
 	}
@@ -139,6 +149,26 @@
 	}
 }
 
+// Close ends the connection now, with what is unsent. The peer's system hears
+// so before this returns: what is sent next on another connection must not
+// overtake it, or an attempt that was given up would have a second copy.
+// netpoll's close callbacks run in another goroutine, as they take the owner's
+// lock.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.abort()
+	}
+}
+
+// abort is called with the lock held, and not closed.
+func (c *Conn) abort() {
+	c.endSending()
+	c.closed = true
+	go func() { _ = c.nc.Close() }()
+}
+
 // Finishing tells whether nothing more can be sent.
 func (c *Conn) Finishing() bool {
 	c.mu.Lock()
--- a/internal/postgres/back/back_test.go
+++ b/internal/postgres/back/back_test.go
@@ -1,6 +1,7 @@
 package back
 
 import (
+	"runtime"
 	"syscall"
 	"testing"
 
@@ -92,8 +93,9 @@
 	p := New(clock.NewLoop(clock.Manual(1000)), Options{}, netio.NewBudget(100), events)
 	p.SetHost(1, "127.0.0.1:1", true)
 	h := p.hosts[1]
+	c := &conn{pool: p, host: h, address: h.address, phase: opening}
+	c.link = netio.NewConn(&link{fd: pair[0], in: netpoll.NewLinkBuffer()})
 	p.loop.Do(func() {
-		c := &conn{pool: p, host: h, address: h.address, phase: opening, link: netio.NewConn(&link{fd: pair[0], in: netpoll.NewLinkBuffer()})}
 		c.ref = p.conns.Add(c)
 		h.coming = 9 // nothing is dialled for those that wait
 		for n := 1; n <= 2; n++ {
@@ -104,9 +106,12 @@
 		if c.job == nil || c.job.attempt.Number != 2 || len(h.waiting) > 0 || h.coming != 8 {
 			t.Errorf("job %+v, %d wait, %d come", c.job, len(h.waiting), h.coming)
 		}
+		if len(events.ended) != 1 || events.ended[0].Number != 1 || events.as[0] != decide.Moot {
+			t.Errorf("ended %+v as %v", events.ended, events.as)
+		}
 	})
-	if len(events.ended) != 1 || events.ended[0].Number != 1 || events.as[0] != decide.Moot {
-		t.Errorf("ended %+v as %v", events.ended, events.as)
+	for written := false; !written; runtime.Gosched() {
+		p.loop.Do(func() { written = !c.job.writing })
 	}
 	_, _ = syscall.Close(pair[0]), syscall.Close(pair[1])
 }
--- /dev/null
+++ b/internal/postgres/front/closing_test.go
@@ -0,0 +1,369 @@
+package front
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/cloudwego/netpoll"
+
+	"lotusbend/internal/clock"
+	"lotusbend/internal/netio"
+	"lotusbend/internal/postgres/wire"
+	"lotusbend/internal/router"
+	"lotusbend/internal/slots"
+)
+
+// desk takes every statement and answers when the test says.
+type desk struct {
+	t      *testing.T
+	clock  *clock.Clock
+	loop   *clock.Loop
+	server *Server
+	taken  []taken // in the order they came
+	lapsed int
+}
+
+type taken struct {
+	text string
+	from router.Client
+	ref  slots.Ref
+}
+
+func (d *desk) Class([]byte) (router.Class, bool) { return router.Class{}, true }
+func (d *desk) Lapse(slots.Ref)                   { d.lapsed++ }
+func (d *desk) Submit(r router.Request, from router.Client, ref slots.Ref) slots.Ref {
+	d.taken = append(d.taken, taken{string(r.Statement.Text), from, ref})
+	return slots.Ref{Slot: uint32(len(d.taken)), Gen: 1}
+}
+
+func newDesk(t *testing.T, sockets int) *desk {
+	t.Helper()
+	d := &desk{t: t, clock: clock.Manual(1000)}
+	d.loop = clock.NewLoop(d.clock)
+	var err error
+	if d.server, err = Listen("127.0.0.1:0", d.loop, netio.NewBudget(sockets), d); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = d.server.Serve() }()
+	return d
+}
+
+// until waits for what the server's state must come to.
+func (d *desk) until(holds func() bool) {
+	for ok := false; !ok; runtime.Gosched() {
+		d.loop.Do(func() { ok = holds() })
+	}
+}
+
+// submitted waits until so many statements were taken.
+func (d *desk) submitted(n int) { d.until(func() bool { return len(d.taken) >= n }) }
+
+// answer serves the n-th statement that was taken.
+func (d *desk) answer(n int) {
+	d.loop.Do(func() {
+		row := &router.Row{Column: []byte("doc"), Value: fmt.Append(nil, "value", n), Tag: []byte("SELECT 1")}
+		d.taken[n].from.Answer(d.taken[n].ref, router.Answer{Verdict: router.Served, Row: row})
+	})
+}
+
+// pass lets so many milliseconds go by.
+func (d *desk) pass(ms float64) {
+	d.clock.Set(d.clock.Now() + ms)
+	d.loop.Fire()
+}
+
+// only returns the one client there is.
+func (d *desk) only() (c *client) {
+	d.server.clients.Each(func(_ slots.Ref, one *client) { c = one })
+	return c
+}
+
+// user is a client's end of a connection.
+type user struct {
+	t  *testing.T
+	c  *net.TCPConn
+	in *bufio.Reader
+}
+
+// connect opens a connection, up to its first ReadyForQuery.
+func (d *desk) connect() *user {
+	d.t.Helper()
+	c, err := net.Dial("tcp", d.server.Address())
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { _ = c.Close() })
+	u := &user{d.t, c.(*net.TCPConn), bufio.NewReader(c)}
+	u.write(wire.AppendStartup(nil, "app", "shop"))
+	u.hear("Z")
+	return u
+}
+
+func (u *user) write(b []byte) {
+	u.t.Helper()
+	if _, err := u.c.Write(b); err != nil {
+		u.t.Fatal(err)
+	}
+}
+
+// statement is a query that the desk takes.
+func statement(id int) []byte {
+	return wire.AppendQuery(nil, fmt.Appendf(nil, "SELECT 1 /* id=%d,c=x,d=900,cluster=1 */", id))
+}
+
+// next returns the next message, as its kind and what it says, "end" for the
+// connection's end and "reset" for any other.
+func (u *user) next() string {
+	h := make([]byte, wire.HeaderLen)
+	_, err := io.ReadFull(u.in, h)
+	switch {
+	case errors.Is(err, io.EOF):
+		return "end"
+	case err != nil:
+		return "reset"
+	}
+	body := make([]byte, binary.BigEndian.Uint32(h[1:])-4)
+	if _, err := io.ReadFull(u.in, body); err != nil {
+		return "reset"
+	}
+	return string(h[0]) + string(body)
+}
+
+// hear reads up to a message of the given kind, or an end, and returns all.
+func (u *user) hear(kind string) (all string) {
+	for {
+		m := u.next()
+		all += m + " "
+		if strings.HasPrefix(m, kind) || m == "end" || m == "reset" {
+			return all
+		}
+	}
+}
+
+func (u *user) want(got string, parts ...string) {
+	u.t.Helper()
+	at := 0
+	for _, p := range parts {
+		i := strings.Index(got[at:], p)
+		if i < 0 {
+			u.t.Fatalf("got %q, want %q in it", got, parts)
+		}
+		at += i + len(p)
+	}
+}
+
+// A statement that has come when the drain begins is answered, wherever it
+// waits to be read; then its client hears the end.
+func TestStatementThatCameBeforeADrainIsAnswered(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	d.loop.Do(func() { // nothing that is read can be taken up before the drain
+		c := d.only()
+		u.write(statement(1))
+		for c.link.Quiet() {
+			runtime.Gosched()
+		}
+		for range 1000 { // who reads it gets as far as it ever does without the loop
+			runtime.Gosched()
+		}
+		d.server.Drain()
+	})
+	d.submitted(1)
+	d.answer(0)
+	u.want(u.hear("no such"), "value0", "end")
+}
+
+// A statement that comes after the end of its connection's sending is neither
+// answered nor sent on: its client sends it again elsewhere.
+func TestStatementThatCrossesTheEndIsNotTaken(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	d.loop.Do(func() {
+		d.server.Drain()
+		d.only().arrived(message{kind: wire.Query, body: statement(2)[wire.HeaderLen:]}) // it was being read
+	})
+	u.want(u.hear("no such"), "end")
+	u.write(statement(1))
+	if err := u.c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	d.until(func() bool { return d.only() == nil })
+	if len(d.taken) > 0 {
+		t.Errorf("%+v was taken", d.taken)
+	}
+}
+
+// Statements behind one under way: what came in time is answered in its turn,
+// what comes later is told to come again, and nothing of it is sent on.
+func TestStatementsBehindOneUnderWayAtADrain(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	u.write(append(statement(1), statement(2)...))
+	d.until(func() bool { return len(d.taken) == 1 && len(d.only().ahead) == 1 })
+	d.loop.Do(d.server.Drain)
+	d.pass(crossing + 1)
+	u.write(statement(3))
+	d.until(func() bool { return len(d.only().ahead) == 2 })
+	d.answer(0)
+	d.submitted(2)
+	d.answer(1)
+	u.want(u.hear("no such"), "value0", "value1", "57P03", "end")
+	d.loop.Do(func() {
+		if len(d.taken) != 2 {
+			t.Errorf("%d statements were taken", len(d.taken))
+		}
+	})
+}
+
+// A part of a message is not waited for once a drain has begun.
+func TestHalfAMessageDoesNotHoldADrainUp(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	u.write(statement(1)[:9])
+	d.until(func() bool { return d.only().half })
+	d.loop.Do(d.server.Drain)
+	d.pass(crossing)
+	u.want(u.hear("no such"), "end")
+}
+
+// What breaks the protocol, or says goodbye, behind a statement under way takes
+// nothing from that one's answer.
+func TestWhatComesBehindAStatementDoesNotTakeItsAnswer(t *testing.T) {
+	for name, c := range map[string]struct{ behind, want string }{
+		"no message": {"Q\x00\x00\x00\x00", "08P01"},
+		"too much":   {strings.Repeat(string(statement(2)), 2+maxAhead/minAhead), "too much sent ahead"},
+		"a flood":    {strings.Repeat("H\x00\x00\x00\x04", 1+maxAhead/minAhead), "too much sent ahead"},
+		"goodbye":    {"X\x00\x00\x00\x04", "end"},
+	} {
+		d := newDesk(t, 100)
+		u := d.connect()
+		u.write(append(statement(1), c.behind...))
+		d.until(func() bool { // it is there, and read as far as it ever is
+			one := d.only()
+			return len(d.taken) > 0 && len(one.ahead) > 0 && (one.ahead[len(one.ahead)-1].err != nil || name == "goodbye")
+		})
+		d.answer(0)
+		for n := 1; n < 40 && name == "too much"; n++ { // a few of those ahead
+			d.submitted(n + 1)
+			d.answer(n)
+		}
+		if got := u.hear("Z"); !strings.Contains(got, "value0") {
+			t.Errorf("%s: got %q", name, got)
+		}
+		if name != "too much" {
+			u.want(u.hear("no such"), c.want)
+		}
+	}
+}
+
+// An answer that could not be written says that the client has gone or is cut
+// off: what it sent ahead must not be sent on.
+func TestNothingIsTakenUpBehindAnAnswerThatNeverLeft(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	u.write(append(statement(1), statement(2)...))
+	d.until(func() bool { return len(d.taken) == 1 && len(d.only().ahead) == 1 })
+	d.loop.Do(func() {
+		c := d.only()
+		c.busy, c.sending = false, true
+		c.sent(errors.New("it never left"))
+	})
+	d.until(func() bool { return d.only() == nil })
+	if len(d.taken) != 1 {
+		t.Errorf("%d statements were taken", len(d.taken))
+	}
+}
+
+// A client that goes, by an end or a reset, with statements sent ahead and a
+// part of one more, is heard at once; nothing of it is sent on.
+func TestClientThatGoesIsHeard(t *testing.T) {
+	for _, linger := range []int{-1, 0} { // an end, a reset
+		d := newDesk(t, 100)
+		u := d.connect()
+		u.write(append(append(statement(1), statement(2)...), statement(3)[:11]...))
+		d.until(func() bool { return len(d.taken) == 1 && len(d.only().ahead) == 1 && d.only().half })
+		if err := errors.Join(u.c.SetLinger(linger), u.c.Close()); err != nil {
+			t.Fatal(err)
+		}
+		d.until(func() bool { return d.lapsed == 1 && d.only() == nil }) // at a clock that stands still
+		if len(d.taken) != 1 {
+			t.Errorf("%d statements were taken", len(d.taken))
+		}
+	}
+}
+
+// Whoever has to make room for another hears the end, and no reset, though it
+// speaks just then: its last answer may still be on its way to it.
+func TestClientThatMakesRoomIsNotReset(t *testing.T) {
+	d := newDesk(t, 28) // two clients
+	u := d.connect()
+	u.write(statement(1))
+	d.submitted(1)
+	d.answer(0)
+	u.want(u.hear("Z"), "value0")
+	d.until(func() bool { return !d.only().sending })
+	d.connect()
+	d.pass(quietLimit - 1)
+	d.connect() // the silent one made room, not this
+	d.pass(1)
+	d.loop.Do(func() {
+		if !d.server.makeRoom() {
+			t.Error("nobody makes room")
+		}
+		if d.server.leaving != 2 {
+			t.Errorf("%d clients have their time to hear the end, want both that made room", d.server.leaving)
+		}
+		u.write(statement(2))
+	})
+	u.want(u.hear("no such"), "end")
+	d.loop.Do(func() {
+		if clients, _ := d.server.budget.Open(); clients > 1 {
+			t.Errorf("%d clients hold a place", clients)
+		}
+	})
+}
+
+// A client that reads nothing, or that does not go when told, holds its
+// connection for no longer than the limits.
+func TestDrainedClientThatStaysIsCut(t *testing.T) {
+	d := newDesk(t, 100)
+	d.connect()
+	d.loop.Do(d.server.Drain)
+	d.pass(leaveTimeout)
+	d.until(func() bool { clients, leaving := d.server.Open(); return clients+leaving == 0 })
+}
+
+// flood is a connection of which a lot was read ahead, and that takes no bytes.
+type flood struct {
+	netpoll.Connection
+	in *netpoll.LinkBuffer
+}
+
+func (f *flood) Reader() netpoll.Reader      { return f.in }
+func (f *flood) Write(b []byte) (int, error) { return len(b), nil }
+func (f *flood) Close() error                { return nil }
+
+// The poller reads on whatever becomes of it: who has sent more than may wait
+// is not served any further, so that memory has a bound.
+func TestFloodIsNotReadAsMessages(t *testing.T) {
+	d := newDesk(t, 100)
+	f := &flood{in: netpoll.NewLinkBuffer()}
+	if _, err := f.in.WriteString(strings.Repeat("H\x00\x00\x00\x04", maxUnread/5+1)); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.in.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	c := &client{server: d.server, link: netio.NewConn(f), greeted: true}
+	d.loop.Do(func() { c.ref = d.server.clients.Add(c) })
+	if err := c.onData(f); err != nil || !c.deaf || !c.link.Finishing() {
+		t.Errorf("%v; the rest is read: %v", err, !c.deaf)
+	}
+}
--- a/internal/postgres/wire/wire.go
+++ b/internal/postgres/wire/wire.go
@@ -11,10 +11,11 @@
 
 // Limits of what a peer may send.
 const (
-	HeaderLen  = 5       // of every message but the first
-	MaxStartup = 10000   // as PostgreSQL's own
-	MaxMessage = 1 << 18 // a value is 64 KiB, in hex digits twice that
-	maxFields  = 64      // of an ErrorResponse, or a startup's parameters
+	HeaderLen        = 5       // of every message but the first
+	StartupHeaderLen = 4       // of that
+	MaxStartup       = 10000   // as PostgreSQL's own
+	MaxMessage       = 1 << 18 // a value is 64 KiB, in hex digits twice that
+	maxFields        = 64      // of an ErrorResponse, or a startup's parameters
 )
 
 // Codes that stand in place of a version in a first message.
@@ -73,7 +74,7 @@
 
 // StartupLen reads the length of a first message's rest from its first four bytes.
 func StartupLen(h []byte) (int, error) {
-	n := binary.BigEndian.Uint32(h[:4])
+	n := binary.BigEndian.Uint32(h[:StartupHeaderLen])
 	if n < 8 || n > MaxStartup {
 		return 0, malformed("length %d of a startup message", n)
 	}
