Stop only once clients have gone, within bounds, and from the first moment on

Seen: after the last answer the process ended 100 ms later, with whatever was unsent or unread: its end resets connections on which bytes have come. Nothing bounded the wait for a client that states d=60000. SIGTERM before the configuration was read killed the process. A SIGHUP before the start opened the new watch first, and the old address then took its place for good. Ruled out: a second SIGTERM (swallowed), SIGHUP while stopping (harmless).

--- a/cmd/lotusbend/main.go
+++ b/cmd/lotusbend/main.go
@@ -101,8 +101,11 @@
 
 // Run implements the command.
 func (cmd serveCmd) Run() error {
-	again := make(chan os.Signal, 1) // from the first moment on, SIGHUP must not end the program
+	again := make(chan os.Signal, 1) // from the first moment on, SIGHUP must not end the program,
 	signal.Notify(again, syscall.SIGHUP)
+	// and SIGTERM must end it in good order. A second one changes nothing.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	opt, err := cmd.load()
 	if err != nil {
 		return err
@@ -113,8 +116,6 @@
 	}
 	runtime.GOMAXPROCS(1)
 	limitMemory(c)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	var level slog.LevelVar
 	level.Set(opt.Level)
 	log := logger(os.Stderr, opt.JSON, &level).With("router", c.Name)
@@ -131,6 +132,7 @@
 	}
 	n.join(ctx, f)
 	go loop.Run(context.Background())
+	n.start()
 	go func() {
 		for range again {
 			if c, err := config.Reload(os.Getenv); err != nil {
--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -28,8 +28,10 @@
 	// settleFor is how long, in milliseconds, devices' readings may take to
 	// have their answers; who gets none by then sends them again.
 	settleFor = 3000
-	// leaveFor is how long the last answers may take to leave.
-	leaveFor = 100
+	// stopBeat is how often it is looked what is left when stopping.
+	stopBeat = 20
+	// turnedAwayFor is how long those turned away last have to hear so.
+	turnedAwayFor = 1000
 	// defaultSockets stands in where the configuration sets no limit.
 	defaultSockets = 1024
 )
@@ -118,7 +120,7 @@
 		was.Discovery, was.Sockets, was.MemoryMB = c.Discovery, c.Sockets, c.MemoryMB
 		n.budget.Resize(cmp.Or(c.Sockets, defaultSockets))
 		n.log.Info("configuration read anew", "discovery", c.Discovery, "moved", moved, "sockets", c.Sockets)
-		if moved {
+		if moved && len(n.watches) > 0 { // before the start there is none to go on until the new one is heard
 			n.follow(c.Discovery)
 		}
 	})
@@ -211,12 +213,17 @@
 	return members
 }
 
-// run serves until ctx ends and all that was taken is answered.
-func (n *node) run(ctx context.Context) error {
+// start takes up the work: the list as last known, and the watch for what it
+// is now. What a reload changes comes after it.
+func (n *node) start() {
 	n.loop.Do(func() {
 		n.router.Start(n.pool, n.members(n.config.Known))
 		n.follow(n.config.Discovery)
 	})
+}
+
+// run serves until ctx ends and all that was taken is answered.
+func (n *node) run(ctx context.Context) error {
 	defer n.loop.Do(func() {
 		for _, w := range n.watches {
 			w.stop()
@@ -238,25 +245,64 @@
 	linger := n.loop.After(lingerFor)
 	n.log.Info("stopping", "linger_ms", lingerFor)
 	<-linger
-	n.loop.Do(func() {
-		n.server.Drain()
-		if n.edge != nil {
-			n.edge.Drain()
-		}
-	})
-	var late float64
-	n.loop.Do(func() { late = n.loop.Now() + settleFor })
-	for open := true; open; { // one more round lets the last answers leave
-		n.loop.Do(func() {
-			open = n.router.Open() > 0 || n.edge != nil && n.edge.Owes() && n.loop.Now() < late
-		})
-		<-n.loop.After(leaveFor)
+	s := stopping{node: n}
+	n.loop.Do(s.begin)
+	for s.next() {
+		<-n.loop.After(stopBeat)
 	}
 	if n.edge != nil {
 		if err := n.edge.Close(); err != nil {
 			return fmt.Errorf("closing the edge: %w", err)
 		}
 	}
-	n.log.Info("stopped")
+	n.log.Info("stopped", "clients_cut", s.clients)
 	return nil
 }
+
+// stopping is a graceful shutdown after the linger.
+type stopping struct {
+	*node
+	began   float64
+	alone   float64 // since when only connections that were turned away are left, 0 if others are
+	clients int     // connections left
+}
+
+func (s *stopping) begin() {
+	s.began = s.loop.Now()
+	s.server.Drain()
+	if s.edge != nil {
+		s.edge.Drain()
+	}
+}
+
+// next tells whether something is left to wait for: a request, the way of its
+// answer to the client, a connection that has not ended. Each has its bound:
+// a request the longest wait that any class gives its clients, whatever its
+// own client says; an answer and an end their own in the front; and those who
+// go on coming and are turned away one second.
+func (s *stopping) next() (open bool) {
+	s.loop.Do(func() {
+		now := s.loop.Now()
+		if now >= s.began+s.longestWait() {
+			s.router.Expire()
+		}
+		clients, leaving := s.server.Open()
+		s.clients = clients + leaving
+		held := s.router.Open() > 0 || clients > 0 || s.edge != nil && s.edge.Owes() && now < s.began+settleFor
+		if held {
+			s.alone = 0
+		} else if s.alone == 0 {
+			s.alone = now
+		}
+		open = held || leaving > 0 && now < s.alone+turnedAwayFor
+	})
+	return open
+}
+
+// longestWait is the longest that a client waits, by the settings, in milliseconds.
+func (n *node) longestWait() (most float64) {
+	for _, c := range n.config.Settings.Config.Classes {
+		most = max(most, clock.Millis(c.Deadline))
+	}
+	return most
+}
--- a/cmd/lotusbend/story_test.go
+++ b/cmd/lotusbend/story_test.go
@@ -86,6 +86,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop = cancel
 	t.Cleanup(cancel)
+	w.node.start()
 	go func() { w.ended <- w.node.run(ctx) }()
 	return w
 }
@@ -589,7 +590,7 @@
 	late := w.dial()
 	late.want(late.answer(), "57P03")
 	for range 10 { // more than the last answers get
-		w.pass(leaveFor)
+		w.pass(stopBeat)
 		runtime.Gosched()
 	}
 	if len(w.ended) > 0 {
@@ -606,7 +607,7 @@
 			}
 			return
 		default:
-			w.pass(leaveFor)
+			w.pass(stopBeat)
 			runtime.Gosched()
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -291,6 +291,11 @@
 	r.release(ref, q)
 }
 
+// Expire ends every request as its deadline would.
+func (r *Router) Expire() {
+	r.requests.Each(func(ref slots.Ref, _ *request) { r.expire(ref) })
+}
+
 // answer gives q its final answer, once.
 func (r *Router) answer(q *request, a Answer) {
 	if q.done {
