Let calls for the list wait 3 s everywhere, so that silence ends before it counts as told

Cause, from the logs: the routers heard of the drains 12.1 to 13.1 s after the call began, told counts from 12 s on; the service answers those who ask together in turn, which took up to 1.3 s. Now a call waits 3 s and is given up after 4, pushed or asked.

--- a/cmd/lotusbend/leave_test.go
+++ b/cmd/lotusbend/leave_test.go
@@ -37,7 +37,7 @@
 	p := w.client()
 	p.query(view)
 	r := slow(t, replica)
-	d.tell("/v1/endpoints?after=4&wait_ms=4000", fmt.Sprintf(`{"index":5,"snapshot":false,"endpoints":[%s]}`,
+	d.tell("/v1/endpoints?after=4&wait_ms=3000", fmt.Sprintf(`{"index":5,"snapshot":false,"endpoints":[%s]}`,
 		endpoint("r", replica, "on", "draining")))
 	if _, err := d.in.Peek(1); err != nil { // the next call: the news was taken
 		t.Fatal(err)
--- a/cmd/lotusbend/story_test.go
+++ b/cmd/lotusbend/story_test.go
@@ -525,10 +525,10 @@
 	}
 	w.node.reload(c)
 	after := agent(t, moved)
-	before.tell("/v1/endpoints?after=4&wait_ms=4000", `{"index":5,"snapshot":false,"endpoints":[`+
+	before.tell("/v1/endpoints?after=4&wait_ms=3000", `{"index":5,"snapshot":false,"endpoints":[`+
 		endpoint("old", old, "off", "draining")+","+endpoint("new", fresh, "off", "ready")+`]}`)
 	// The next call comes once the list was taken: a statement sent sooner may go to the old host.
-	if r, err := http.ReadRequest(before.in); err != nil || r.URL.RawQuery != "after=5&wait_ms=4000" {
+	if r, err := http.ReadRequest(before.in); err != nil || r.URL.RawQuery != "after=5&wait_ms=3000" {
 		t.Fatalf("asked %v, %v", r, err)
 	}
 	p := w.client()
@@ -543,7 +543,7 @@
 	p.query(write)
 	accept(t, old).serve("old", "off")
 	p.want(p.answer(), "old")
-	after.tell("/v1/endpoints?after=6&wait_ms=4000", `{"index":6,"snapshot":false,"endpoints":[]}`)
+	after.tell("/v1/endpoints?after=6&wait_ms=3000", `{"index":6,"snapshot":false,"endpoints":[]}`)
 }
 
 // The list changes under way: a host that drains gets nothing new, its
@@ -559,9 +559,9 @@
 	h := accept(t, old)
 	h.serve("old", "off")
 	p.want(p.answer(), "old")
-	answer("/v1/endpoints?after=4&wait_ms=4000", `{"index":5,"snapshot":false,"endpoints":[`+
+	answer("/v1/endpoints?after=4&wait_ms=3000", `{"index":5,"snapshot":false,"endpoints":[`+
 		endpoint("old", old, "off", "draining")+","+endpoint("new", fresh, "off", "ready")+`]}`)
-	answer("/v1/endpoints?after=5&wait_ms=4000", `{"index":5,"snapshot":false,"endpoints":[]}`)
+	answer("/v1/endpoints?after=5&wait_ms=3000", `{"index":5,"snapshot":false,"endpoints":[]}`)
 	p.query(write)
 	accept(t, fresh).serve("new", "off")
 	p.want(p.answer(), "new")
--- a/internal/discovery/pace/watch.go
+++ b/internal/discovery/pace/watch.go
@@ -7,15 +7,12 @@
 // the service was asked to wait, if that is later. Every call is given up well
 // before that.
 const (
-	// pushWait is how long, in milliseconds, one call may wait for news where
-	// the list comes by itself: the agent that answers is on this machine, and
-	// a call costs nothing.
-	pushWait = 4000
-	// askWait is the same where one service answers all: there a call is work.
-	askWait = 10000
-	// pushSlack and askSlack are what an answer may take beyond that. The
-	// service of many may be behind with them.
-	pushSlack, askSlack = 1000, 1500
+	// callWait is how long, in milliseconds, one call may wait for news. Where
+	// one service answers all, a router whose watch falls silent has to wait
+	// there in turn once more before it is told.
+	callWait = 3000
+	// callSlack is what an answer may take beyond that.
+	callSlack = 1000
 	// wholeLimit is what a call for the whole list may take, which waits for
 	// nothing.
 	wholeLimit = 4000
@@ -48,7 +45,6 @@
 type Watch struct {
 	pace    *Pace
 	rng     *rand.Rand
-	ask     bool
 	resumes bool
 	index   uint64
 }
@@ -56,7 +52,7 @@
 // NewWatch returns a watch that has no list yet.
 func NewWatch(c Config, seed uint64) *Watch {
 	p := New(c, seed)
-	return &Watch{pace: p, rng: p.rng, ask: c.MustAsk}
+	return &Watch{pace: p, rng: p.rng}
 }
 
 // Resume says that the router holds the list of that index: only what has
@@ -69,13 +65,10 @@
 
 // Call returns the next call.
 func (w *Watch) Call() Call {
-	switch {
-	case !w.resumes:
+	if !w.resumes {
 		return Call{Limit: wholeLimit}
-	case w.ask:
-		return Call{Resumes: true, Index: w.index, Wait: askWait, Limit: askWait + askSlack}
 	}
-	return Call{Resumes: true, Index: w.index, Wait: pushWait, Limit: pushWait + pushSlack}
+	return Call{Resumes: true, Index: w.index, Wait: callWait, Limit: callWait + callSlack}
 }
 
 // Listed takes an answer to call c, that took so long, and returns how long to
--- a/internal/discovery/pace/watch_test.go
+++ b/internal/discovery/pace/watch_test.go
@@ -4,9 +4,10 @@
 
 // What a silent watch misses counts as told 6 s after the silence began, or 2 s
 // after the wait is over if that is later. Whenever in a call it begins, the
-// next call must come before that, with room for a dial that hangs.
+// next call must come before that, with room for a dial that hangs and for 1.5 s in
+// which all that fell silent together are answered in turn.
 func TestSilenceIsEndedBeforeItCountsAsTold(t *testing.T) {
-	const dials = 500
+	const dials, turns = 500, 1500
 	const slack = 350 // of the shortest grace for a drain, 300 ms and 50 by the page
 	for _, c := range []Config{{}, {Routers: 300}, {Routers: 300, MustAsk: true, AskWithin: 10000}, {MustAsk: true}} {
 		for _, resumes := range []bool{false, true} {
@@ -22,7 +23,7 @@
 				rest := w.Failed(Silent)
 				for silent := 0.0; silent < call.Limit; silent += 100 {
 					told := max(silent+6000, call.Wait+2000)
-					if again := call.Limit + rest + dials; again > told+slack {
+					if again := call.Limit + rest + dials + turns; again > told+slack {
 						t.Fatalf("%+v: silent from %.0f ms on, asked again at %.0f, told at %.0f", c, silent, again, told)
 					}
 				}
@@ -58,7 +59,7 @@
 		rests   bool
 	}{
 		"changes":              {func(w *Watch) float64 { return w.Listed(w.Call(), 43, false, true, 5) }, true, 43, false},
-		"nothing, in time":     {func(w *Watch) float64 { return w.Listed(w.Call(), 41, false, false, 4000) }, true, 41, false},
+		"nothing, in time":     {func(w *Watch) float64 { return w.Listed(w.Call(), 41, false, false, 3000) }, true, 41, false},
 		"nothing, at once":     {func(w *Watch) float64 { return w.Listed(w.Call(), 41, false, false, 1) }, true, 41, true},
 		"the whole list":       {func(w *Watch) float64 { return w.Listed(w.Call(), 7, true, true, 1) }, true, 7, false},
 		"changes of an older":  {func(w *Watch) float64 { return w.Listed(w.Call(), 7, false, true, 1) }, false, 7, true},
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -117,7 +117,7 @@
 
 const (
 	whole   = "/v1/endpoints"
-	after43 = "/v1/endpoints?after=43&wait_ms=4000"
+	after43 = "/v1/endpoints?after=43&wait_ms=3000"
 )
 
 // A watch that falls silent, in a call that waits or in one that does not, is
@@ -131,7 +131,7 @@
 		s.step(6000) // the call is given up
 		s.step(500)  // after a rest
 		s.connect()
-		if took := s.at.Now() - silent; took > 5500 {
+		if took := s.at.Now() - silent; took > 4500 {
 			t.Errorf("opened anew after %.0f ms of silence", took)
 		}
 		r, err := http.ReadRequest(s.in)
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -83,19 +83,19 @@
 	go w.Run(ctx)
 	const whole = "/v1/endpoints"
 	for range 3 {
-		s.asked(whole + "?after=41&wait_ms=4000")
+		s.asked(whole + "?after=41&wait_ms=3000")
 		s.answer("503 Service Unavailable", "")
 	}
-	s.asked(whole + "?after=41&wait_ms=4000")
+	s.asked(whole + "?after=41&wait_ms=3000")
 	s.answer("200 OK", `{"index":43,"snapshot":false,"endpoints":[{"name":"a","status":"ready"}]}`)
 	if n := <-news; n.Index != 43 || n.Whole || len(n.Hosts) != 1 {
 		t.Errorf("heard %+v", n)
 	}
-	s.asked(whole + "?after=43&wait_ms=4000")
+	s.asked(whole + "?after=43&wait_ms=3000")
 	s.answer("410 Gone", "")
 	s.asked(whole)
 	s.answer("200 OK", `{"index":7,"snapshot":true,"endpoints":[]}`)
-	s.asked(whole + "?after=7&wait_ms=4000")
+	s.asked(whole + "?after=7&wait_ms=3000")
 	s.answer("200 OK", `{"index":`)
 	s.c = nil
 	s.advance()
