Ask a replica for its position when a read finds none fresh, where replicas do not check

Ruled out: missing first probes (1.6 a first try), lists.

Now a read that finds no replica fresh has those probed whose position is over 500 ms old, and waits for that up to 100 ms before it may fall to the primary; where answers tell no positions, the probe once per bound is asked for by the same reads instead of by a measure of how often they come. Nothing changes where hosts check and tell positions.

--- a/decide/api.go
+++ b/decide/api.go
@@ -129,8 +129,7 @@
 	Parallel     bool
 	Probes       bool
 	Cancels      bool
-	RetryAfter   bool
-	MaxRetryWait time.Duration
+	MaxRetryWait time.Duration // the longest advice that clients follow, 0 for none
 
 	StartCapacity  float64 // fraction of its capacity a cold member starts with
 	ColdFor        time.Duration
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -96,13 +96,13 @@
 
 // group is one primary and its replicas. Every session read must be past floor.
 type group struct {
-	members              []*member
-	primary, announced   *member // primary as believed, nil while sought
-	held                 []*request
-	scoutAt, usedAt, gap time.Duration
-	soughtAt             time.Duration            // when its primary was last known, or is looked for
-	tokens               map[uint64]time.Duration // sessions' commits
-	floor, latest        time.Duration            // the latest commit among those forgotten; of all
+	members            []*member
+	primary, announced *member // primary as believed, nil while sought
+	held               []*request
+	scoutAt            time.Duration
+	soughtAt           time.Duration            // when its primary was last known, or is looked for
+	tokens             map[uint64]time.Duration // sessions' commits
+	floor, latest      time.Duration            // the latest commit among those forgotten; of all
 }
 
 type attempt struct {
@@ -223,7 +223,6 @@
 		return
 	}
 	g := r.group(in.Group)
-	g.gap, g.usedAt = smooth(g.gap, min(now-g.usedAt, time.Second), smoothing), now
 	q := &request{Request: in, class: &r.cfg.Classes[in.Class], g: g, earns: 2, draw: r.rng.Float64()}
 	q.expires = now + max(in.TimeLeft, 0)
 	q.heldUntil = now + time.Duration(holdShare*float64(max(in.TimeLeft, 0))) - holdMargin
@@ -271,8 +270,7 @@
 	}
 }
 
-// Streaming says that the answer of an attempt has begun: from here on the attempt is the client's and no
-// deadline runs.
+// Streaming says that an answer has begun: from here on it is the client's, and no deadline runs.
 func (r *Router) Streaming(now time.Duration, id uint64, _ int) {
 	if q := r.requests[id]; q != nil {
 		q.streaming = true
@@ -488,12 +486,8 @@
 // reach or a group without a primary, so a repeat helps only when queues have turned over: the advice is the
 // longest that clients follow.
 func (r *Router) giveUp(q *request) {
-	var after time.Duration
-	if r.cfg.RetryAfter {
-		after = r.cfg.MaxRetryWait
-	}
 	if q.mayRefuse() {
-		r.act.Refuse(q.ID, after)
+		r.act.Refuse(q.ID, r.cfg.MaxRetryWait)
 	} else {
 		r.act.Fail(q.ID)
 	}
@@ -665,11 +659,9 @@
 
 // adapt moves a member's concurrency limit by how much of its aim an answer used (additive increase,
 // multiplicative decrease, once for what was sent before it). It answers queues, whatever fills them.
-//
-// Answers of primaries past the tightest aim of what only they serve also thin out the reads that may fall
-// to them: with many routers one attempt each is no limit, and what one primary shows the others likely
-// suffer. It answers replicas out of the gate and all that crowds primaries. It could hurt where one alone is
-// slow.
+// Answers of primaries past the tightest aim of what only they serve also thin out the reads that may fall to
+// them, from replicas out of the gate above all: one attempt from each of many routers is no limit, and the
+// others likely suffer, too. It could hurt where one alone is slow.
 func (r *Router) adapt(m *member, a *attempt, used float64, now time.Duration) {
 	if m == m.g.primary && now-a.sent >= r.primaryAim {
 		r.spill *= spillCut
@@ -715,11 +707,15 @@
 		if q.draw > r.admit {
 			return nil
 		}
-		best := math.MaxInt
+		best, asked := math.MaxInt, false
 		r.scratch = r.scratch[:0]
 		for _, m := range q.g.members {
-			if m == p || m.role == RolePrimary || !r.usable(q, m, now) || !r.fresh(q, m, now) ||
-				!r.hasRoom(m, 1, now) {
+			if m == p || m.role == RolePrimary || !r.usable(q, m, now) {
+				continue
+			}
+			fresh := r.fresh(q, m, now)
+			asked = r.ask(m, fresh, now) || asked
+			if !fresh || !r.hasRoom(m, 1, now) {
 				continue
 			}
 			t := r.tier(m, now)
@@ -733,7 +729,7 @@
 		if len(r.scratch) > 0 {
 			return r.draw(r.scratch)
 		}
-		if q.draw > r.spill {
+		if q.draw > r.spill || (asked && r.cfg.Check == Unchecked) {
 			return nil
 		}
 		share = spareShare
@@ -836,11 +832,10 @@
 	}
 }
 
-// scout sends one held write to look for the primary: a miss is cheap and tells the role. The member
-// announced last goes first, then the one longest unasked. It answers every change of
-// primary (death, hang, drain, a wrong list). It could hurt only by the tries it uses, which are paced and
-// kept from a request's last ones. Where no write came for a while and replicas turn a read away that they
-// are behind for, a fresh read looks: else a group that is only read at the primary would never find it.
+// scout sends one held write to look for the primary: a miss is cheap and tells the role. Whoever was
+// announced last goes first, then who is longest unasked. It answers every change of primary. It could hurt
+// only by the tries it uses, paced and kept from a request's last ones. Where no write came for a while and
+// replicas check, a fresh read looks: else a group only read at the primary would never find it.
 func (r *Router) scout(g *group, now time.Duration) {
 	if !r.seeking(g) {
 		g.soughtAt = now
@@ -872,9 +867,8 @@
 
 // hasRoom tells whether m may hold one more attempt, using at most share of its limit. A cold member has
 // an allowance too: coldShare of the rule's multiple of its present fraction of the most that members were
-// seen to bear on average. Each bears at least one request at a time, whatever this router has seen: one that
-// has just started saw little, and less the more it refuses. Summed over the routers that stays under the
-// limit, also at first, as each starts with a random part of its first turn.
+// seen to bear on average, but at least one request at a time: a router that has just started saw little.
+// Summed over the routers that stays under the limit, also at first, as each starts with a random part.
 func (r *Router) hasRoom(m *member, share float64, now time.Duration) bool {
 	w := r.warmth(m, now)
 	if m.cold {
@@ -980,10 +974,19 @@
 // requests pay for first probes: one of each member by each router costs a large fleet more than it saves.
 func (r *Router) probesFirst() bool { return r.cfg.Check == Unchecked || !r.cfg.Positions }
 
+// ask has a replica probed for a read: about once per bound where answers tell no positions, and where only a
+// proven one counts when it has aged: many routers hear seldom from each replica, and their reads would fall
+// to the primaries together. It tells whether the read may wait for that.
+func (r *Router) ask(m *member, fresh bool, now time.Duration) bool {
+	age := now - max(m.lagAt, m.probedAt)
+	m.awaitsProbe = m.awaitsProbe || r.cfg.Probes && r.cfg.ReportsRole && r.bound > 0 && !m.open &&
+		(!r.cfg.Positions && age >= r.bound || !fresh && r.cfg.Check == Unchecked && age >= reportAge)
+	return m.awaitsProbe && (!m.probing || now-m.probedAt < scoutPace)
+}
+
 // lookAt opens the breaker of a member that takes work and answers none (hung, cut off, stuck), whatever the
 // cause. It could hurt where all stall together for long: then what comes in is held until they answer.
-// It also probes a member not heard yet and, where answers carry no position, each replica once per bound,
-// unless the group's requests come more seldom: then a report is old before one could use it.
+// It also probes a member not heard yet.
 func (r *Router) lookAt(m *member, now time.Duration) {
 	if m.out > 0 && !m.open {
 		from := m.heardAt
@@ -998,11 +1001,9 @@
 	if !r.cfg.Probes || m.State != Ready || (m.probing && now-m.probedAt < trialWaitMax) {
 		return // or out, and not lost yet
 	}
-	stale := !r.cfg.Positions && r.cfg.ReportsRole && m != m.g.primary && !m.open &&
-		now-m.probedAt >= r.bound && m.g.gap < r.bound && now-m.g.usedAt < 2*r.bound
 	lost := m.unreached && (m.open || now < m.restUntil) && now-m.probedAt >= knockPace
 	first := m.awaitsProbe && now-m.probedAt >= scoutPace && (r.probesFirst() || r.probeBudget >= 1)
-	if first || stale || lost {
+	if first || lost {
 		r.probeBudget = max(r.probeBudget-1, 0)
 		m.probing, m.probedAt = true, now
 		r.act.Probe(m.ID)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -85,7 +85,7 @@
 	return Config{
 		Classes: []Class{class("write", Write, Unsafe), class("fresh", Fresh, Pure),
 			class("session", Session, Pure), class("bounded", Bounded, Pure), class("keyed", Write, Keyed)},
-		Positions: true, MaxAttempts: 8, Parallel: true, Cancels: true, RetryAfter: true,
+		Positions: true, MaxAttempts: 8, Parallel: true, Cancels: true,
 		MaxRetryWait: time.Second, StartCapacity: 0.2, ColdFor: 10 * time.Second,
 		OverloadFactor: 2, OverloadFor: time.Second, RemovalBinds: true, AskWithin: 10 * time.Second,
 	}
@@ -933,7 +933,10 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	coin := func() bool { return rng.IntN(2) == 0 }
 	cfg := testConfig()
-	cfg.Parallel, cfg.Cancels, cfg.Probes, cfg.RetryAfter = coin(), coin(), coin(), coin()
+	cfg.Parallel, cfg.Cancels, cfg.Probes = coin(), coin(), coin()
+	if coin() {
+		cfg.MaxRetryWait = 0
+	}
 	cfg.Check, cfg.Positions, cfg.ReportsRole = Check(rng.IntN(3)), true, coin()
 	if cfg.Check != Unchecked {
 		cfg.Positions, cfg.Carried, cfg.Patience = coin(), coin(), 50*ms
--- a/internal/fleetstate/hang_test.go
+++ b/internal/fleetstate/hang_test.go
@@ -78,7 +78,7 @@
 	}
 	f.hung = 2 + uint32(f.rng.IntN(3)) // a replica of the first group
 	cfg := decide.Config{Routers: routers, Zone: 0, Check: decide.RefuseStale, Positions: true, Carried: true, ReportsRole: true, Probes: true,
-		Cancels: true, Parallel: true, MaxAttempts: 6, RetryAfter: true, MaxRetryWait: time.Second, StartCapacity: 0.21, ColdFor: 18 * time.Second,
+		Cancels: true, Parallel: true, MaxAttempts: 6, MaxRetryWait: time.Second, StartCapacity: 0.21, ColdFor: 18 * time.Second,
 		OverloadFactor: 2, OverloadFor: time.Second,
 		Classes: []decide.Class{{Name: "view", Aim: aimMs * time.Millisecond, Deadline: 1200 * time.Millisecond, Worth: 2, Consistency: decide.Bounded, Bound: 800 * time.Millisecond}}}
 	var names []string
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,12 +88,14 @@
 		AskWithin:   millis(rules, "AskWithinMs"),
 		MaxAttempts: limits.GetInt("MaxAttempts"),
 		Parallel:    limits.GetBool("ParallelTries"), Probes: limits.GetBool("Probes"),
-		Cancels: limits.GetBool("Cancelling"), RetryAfter: limits.GetBool("RetryAfter"),
-		MaxRetryWait:  millis(limits, "MaxRetryAfterMs"),
+		Cancels:       limits.GetBool("Cancelling"),
 		StartCapacity: rules.GetFloat64("StartCapacity"), ColdFor: millis(rules, "ColdMs"),
 		OverloadFactor: rules.GetFloat64("OverloadFactor"), OverloadFor: millis(rules, "OverloadForMs"),
 		RemovalBinds: !rules.GetBool("RemovalNotBinding"),
 	}
+	if limits.GetBool("RetryAfter") {
+		s.Config.MaxRetryWait = millis(limits, "MaxRetryAfterMs")
+	}
 	for i, c := range classes {
 		cl := decide.Class{
 			Name: text(c, "Name"), Aim: millis(c, "AimMs"), Deadline: millis(c, "GiveUpMs"),
