--- a/cmd/lotusbend/leave_test.go
+++ b/cmd/lotusbend/leave_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -65,3 +66,24 @@
 	next.want(h.serve("next", "off"), "9b21")
 	next.want(next.answer(), "next")
 }
+
+// Nor is a repeat sent for it, that waits for a primary to be found.
+func TestRepeatIsNotSentForAClientThatHasGone(t *testing.T) {
+	l := listen(t)
+	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
+	gone, next := w.client(), w.client()
+	gone.query(write)
+	h := accept(t, l)
+	h.refuse(wire.CodeReadOnly)
+	w.until(func() bool { return w.node.router.Open() == 1 })
+	_ = gone.c.Close()
+	w.until(func() bool { return w.node.router.Open() == 0 })
+	w.pass(1000)
+	next.query(strings.Replace(write, "9b20", "9b21", 1))
+	for range 50 {
+		w.pass(10)
+		runtime.Gosched()
+	}
+	next.want(h.serve("next", "off"), "9b21")
+	next.want(next.answer(), "next")
+}
--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -299,8 +299,10 @@
 	return open
 }
 
-// longestWait is the longest that a client waits, by the settings, in milliseconds.
-func (n *node) longestWait() (most float64) {
+// longestWait is the longest that a client waits, by the settings, in
+// milliseconds; settings that do not tell cut nobody off.
+func (n *node) longestWait() float64 {
+	most := float64(settleFor)
 	for _, c := range n.config.Settings.Config.Classes {
 		most = max(most, clock.Millis(c.Deadline))
 	}
--- a/decide/ask_test.go
+++ b/decide/ask_test.go
@@ -52,3 +52,38 @@
 		}
 	}
 }
+
+// Where answers tell no positions each replica is probed about once per bound
+// while reads come for its group, and not at all while none does.
+func TestReplicasThatTellNoPositionAreProbedOncePerBound(t *testing.T) {
+	cfg := testConfig()
+	cfg.Check, cfg.Positions, cfg.Probes, cfg.ReportsRole = RefuseStale, false, true, true
+	g := newRig(t, cfg, trio())
+	tell := func() {
+		for _, m := range g.probes {
+			g.r.Probed(g.now, ProbeResult{Member: m, Note: Note{Role: RoleReplica, Position: g.now}})
+		}
+	}
+	g.wait(100 * ms)
+	tell()
+	for _, reads := range []bool{true, false} {
+		counts := map[uint32]int{}
+		for range 300 { // ten bounds of 300 ms
+			g.probes = nil
+			if reads {
+				g.arrive(bounded)
+				if n := len(g.sends); n > 0 {
+					g.end(g.sends[n-1], OK, RoleReplica, 0)
+				}
+			}
+			g.wait(beat)
+			for _, m := range g.probes {
+				counts[m]++
+			}
+			tell()
+		}
+		if n := counts[2]; reads && (n < 7 || n > 11) || !reads && n > 1 {
+			t.Errorf("reads come: %v; a replica was probed %d times in ten bounds", reads, n)
+		}
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -638,7 +638,7 @@
 
 // heard closes the breaker of a member that has answered.
 func (r *Router) heard(m *member, now time.Duration) {
-	m.heardAt, m.since, m.awaitsProbe = now, 0, false
+	m.heardAt, m.since, m.awaitsProbe = now, 0, m.awaitsProbe && !r.cfg.Positions
 	m.unreached, m.busyUntil = false, min(m.busyUntil, now+busyFor*r.latencyOf(m))
 	if m.open {
 		m.open, m.trialWait = false, 0
--- a/internal/discovery/pace/pace.go
+++ b/internal/discovery/pace/pace.go
@@ -21,6 +21,9 @@
 	// the settings allow four times that time after a failed call, and the
 	// draw adds up to a half.
 	failedShare = 2
+	// firstShare of it bounds the wait before the first call: a router that has
+	// not asked by then counts as told, and its call takes its turn.
+	firstShare = 0.5
 )
 
 // Config is what the settings tell.
@@ -43,7 +46,7 @@
 	if p.ask {
 		p.first *= float64(max(c.Routers, 1))
 		if c.AskWithin > 0 {
-			p.first = min(p.first, c.AskWithin)
+			p.first = min(p.first, firstShare*c.AskWithin)
 			p.most = max(p.most, failedShare*c.AskWithin)
 		}
 		p.most = max(p.most, p.first)
--- a/internal/discovery/pace/pace_test.go
+++ b/internal/discovery/pace/pace_test.go
@@ -77,7 +77,7 @@
 		{Routers: -3, MustAsk: true}, {Routers: 80, AskWithin: 10000}, {},
 	} {
 		p := New(c, 7)
-		if w := p.First(true); w < 0 || (c.AskWithin > 0 && w > c.AskWithin) || (!c.MustAsk && w != 0) {
+		if w := p.First(true); w < 0 || (c.AskWithin > 0 && w > c.AskWithin/2) || (!c.MustAsk && w != 0) {
 			t.Errorf("%+v: first call after %.0f ms", c, w)
 		}
 		if p.First(false) != 0 {
