Let more clients hear that they are turned away, on descriptors that nobody has taken

They may now hold half of the descriptors that nobody has taken, too. Test: 20 turned away at once beside 50 under way each hear 53300; it fails with the old bound.

--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -229,6 +229,9 @@
 // GiveClient returns it.
 func (b *Budget) GiveClient() { b.clients-- }
 
+// Spare returns how many more sockets may be open.
+func (b *Budget) Spare() int { return max(b.Total-b.clients-b.hosts, 0) }
+
 // ClientsShort tells whether clients hold more than half of what they may: the
 // rest is for those yet to come.
 func (b *Budget) ClientsShort() bool { return b.clients > b.Clients/2 }
--- a/internal/postgres/front/closing.go
+++ b/internal/postgres/front/closing.go
@@ -36,7 +36,7 @@
 // none is left it is closed hard.
 func (s *Server) displace(c *client) {
 	c.release()
-	if s.leaving >= maxLeaving {
+	if s.leaving >= s.mostLeaving() {
 		c.link.Close()
 		return
 	}
--- a/internal/postgres/front/closing_test.go
+++ b/internal/postgres/front/closing_test.go
@@ -340,6 +340,28 @@
 	d.until(func() bool { clients, leaving := d.server.Open(); return clients+leaving == 0 })
 }
 
+// Whoever is turned away hears so, however many come at once, as long as there
+// are descriptors that nobody has taken.
+func TestManyTurnedAwayAtOnceHearSo(t *testing.T) {
+	d := newDesk(t, 100) // 50 of 76 are for clients
+	for n := range 50 {
+		d.connect().write(statement(n))
+		d.submitted(n + 1)
+	}
+	var away []*user
+	for range 20 {
+		c, err := net.Dial("tcp", d.server.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		away = append(away, &user{t, c.(*net.TCPConn), bufio.NewReader(c)})
+	}
+	for _, u := range away {
+		u.want(u.hear("no such"), "53300", "end")
+	}
+}
+
 // flood is a connection of which a lot was read ahead, and that takes no bytes.
 type flood struct {
 	netpoll.Connection
--- a/internal/postgres/front/front.go
+++ b/internal/postgres/front/front.go
@@ -31,9 +31,12 @@
 	writeTimeout = 5000
 	// leaveTimeout is how long a client may take to hear that it is let go.
 	leaveTimeout = 1000
-	// maxLeaving bounds the clients turned away that have not gone, which live
-	// on the descriptors kept in reserve.
-	maxLeaving = 12
+	// maxLeaving bounds the clients told to go that have not gone, which live
+	// on the descriptors kept in reserve, and spareLeaving the share of those
+	// that nobody has taken that they may hold beside: a close without a word
+	// looks to a client like a router that has died.
+	maxLeaving   = 12
+	spareLeaving = 0.5
 	// maxParting is what a client that is let go, or broke the protocol, may
 	// still send: reading on would cost more than it is worth.
 	maxParting = 64 << 10
@@ -166,6 +169,8 @@
 	c.server.leaving++
 }
 
+func (s *Server) mostLeaving() int { return maxLeaving + int(spareLeaving*float64(s.budget.Spare())) }
+
 // connected ends a connection that was turned away. It comes after netpoll
 // has registered the descriptor: one closed before could be another's by then.
 func (s *Server) connected(ctx context.Context, _ netpoll.Connection) context.Context {
@@ -174,7 +179,7 @@
 		return ctx
 	}
 	s.loop.Do(func() {
-		if s.leaving > maxLeaving {
+		if s.leaving > s.mostLeaving() {
 			c.link.Close()
 			return
 		}
