Let nobody go in a drain's first 10 ms, so that what came before it is seen

Seen: TestStatementThatCameBeforeADrainIsAnswered hung once in some 300 runs under -race on a loaded machine. Cause: netpoll's poller had taken the statement from the system (readv) and not yet noted it in the buffer, so that Quiet saw it in neither place and the connection was half-closed with an accepted statement unanswered. Ruled out: the reader (it takes messages inside the loop). The drain settles connections from 10 ms on; by then what came before it is in the buffer or taken.

--- a/internal/postgres/front/closing.go
+++ b/internal/postgres/front/closing.go
@@ -135,10 +135,11 @@
 // later is not waited for, or who goes on sending would hold the drain up.
 func (c *client) settle() {
 	s := c.server
-	if !s.closing || c.busy || c.sending || c.leaving || len(c.ahead) > 0 {
+	now := s.loop.Now()
+	if !s.closing || now < s.closedAt+arriving || c.busy || c.sending || c.leaving || len(c.ahead) > 0 {
 		return
 	}
-	if s.loop.Now() >= s.closedAt+crossing {
+	if now >= s.closedAt+crossing {
 		c.part()
 	} else if !c.half {
 		c.partQuiet()
@@ -197,7 +198,7 @@
 func (s *Server) Drain() {
 	s.closing, s.closedAt = true, s.loop.Now()
 	settle := func() { s.clients.Each(func(_ slots.Ref, c *client) { c.settle() }) }
-	settle()
+	s.loop.At(s.closedAt+arriving, settle)
 	s.loop.At(s.closedAt+crossing, settle)
 }
 
--- a/internal/postgres/front/front.go
+++ b/internal/postgres/front/front.go
@@ -40,6 +40,10 @@
 	// maxParting is what a client that is let go, or broke the protocol, may
 	// still send: reading on would cost more than it is worth.
 	maxParting = 64 << 10
+	// arriving is how long, in milliseconds, after a drain began nobody is let go:
+	// what had come by then may be on its way from the system to the buffer,
+	// where Quiet sees it in neither.
+	arriving = 10
 	// crossing is for how long, in milliseconds, a statement read after a drain
 	// began may have come before it.
 	crossing = 100
