Take a write that ended without a read answer for committed by then, for its session

Now every write that may have run and ended otherwise counts as committed when it ended; reads of its session go to whoever is past that. Where tokens are carried nothing changes.

--- a/decide/api.go
+++ b/decide/api.go
@@ -87,6 +87,11 @@
 	Rejected                     // turned away for what it says: no member would take it
 )
 
+// RanNot tells of an outcome that proves that nothing ran.
+func (o Outcome) RanNot() bool {
+	return o == Full || o == ConnectFailed || o == Moot || o == Miss || o == Rejected
+}
+
 // ListKind says what a list event holds.
 type ListKind uint8
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -403,8 +403,7 @@
 		(q.class.Scope != ScopeZone || m == nil || m.Zone == q.ranZone)
 }
 
-// MayLeave tells whether an attempt that waited for its connection may be written now: its member may drain
-// by then, the key's window have ended, the data have grown too old.
+// MayLeave asks again as an attempt that waited for its connection is written: what allowed it may be over.
 func (r *Router) MayLeave(now time.Duration, id uint64, n int) bool {
 	q := r.requests[id]
 	if q == nil || q.done || now >= q.expires || q.attempts[n].m.State != Ready {
@@ -449,13 +448,12 @@
 
 // retry decides what follows an attempt that did not serve q.
 func (r *Router) retry(q *request, m *member, o Outcome, took, now time.Duration) {
-	ranNot := o == Miss || o == Full || o == ConnectFailed || o == Moot || o == Rejected
-	q.mayHaveRun = q.mayHaveRun || !ranNot
+	q.mayHaveRun = q.mayHaveRun || !o.RanNot()
 	if q.out > 0 {
 		return
 	}
 	cost := 1.0 // work is repeated
-	if ranNot {
+	if o.RanNot() {
 		cost = 0
 	} else if o == Spoilt || (o == Reset && m.fails == 1) || (o == Error && took < r.latencyOf(m)/4) {
 		cost = brokenCost
@@ -582,7 +580,7 @@
 
 // learn takes what the end of an attempt tells of its member; q and a are nil for one long forgotten.
 func (r *Router) learn(m *member, q *request, a *attempt, res Result, now time.Duration) {
-	o, write := res.Outcome, q != nil && q.class.Consistency == Write
+	o, write, commit := res.Outcome, q != nil && q.class.Consistency == Write, now
 	if o == OK || o == Miss || o == Full || o == Error || o >= Spoilt {
 		r.heard(m, now)
 		if res.Note.Role != RoleUnknown {
@@ -590,10 +588,13 @@
 		}
 		if o != OK || (q != nil && !write) {
 			r.heardPosition(m, res.Note.Position, now)
-		} else if write && res.Note.Position > 0 && !r.cfg.Carried && q.Session != 0 {
-			r.remember(m.g, q.Session, res.Note.Position)
+		} else if write && res.Note.Position > 0 {
+			commit = res.Note.Position
 		}
 	}
+	if write && !r.cfg.Carried && q.Session != 0 && !o.RanNot() { // its answer may have been lost on the way
+		r.remember(m.g, q.Session, commit)
+	}
 	switch {
 	case a == nil, o == Moot, o == Cancelled, o == Rejected: // no fault of the member's
 	case o == OK:
