Take a report's word for a primary only if it was made after the last answer, and lately

A primary's position in its report is the time of the report: it must be later than the last answer that told the role and at most 500 ms old.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -63,8 +63,6 @@
 	beatToken    = 1
 )
 
-// State.
-
 // member is what this router knows of one server.
 type member struct {
 	Member
@@ -178,8 +176,6 @@
 	return r, nil
 }
 
-// Events.
-
 // Start begins the router's work.
 func (r *Router) Start(now time.Duration) {
 	r.Timer(now, beatToken)
@@ -320,7 +316,11 @@
 		r.open(m, now)
 		return
 	}
-	if p.Note.Role != RoleUnknown && (m.roleAt == 0 || now-m.roleAt > reportAge) {
+	at := now - reportAge // when the report was made, at the latest; a primary's position is the time itself
+	if p.Note.Role == RolePrimary {
+		at = p.Note.Position
+	}
+	if p.Note.Role != RoleUnknown && (m.roleAt == 0 || at > m.roleAt && now-at <= reportAge) {
 		r.heardRole(m, p.Note.Role, now)
 	}
 	r.heardPosition(m, p.Note.Position, now)
@@ -569,8 +569,6 @@
 	}
 }
 
-// Member knowledge: role, position, latency, busy.
-
 func (r *Router) latencyOf(m *member) time.Duration { return cmp.Or(m.latency, r.latency) }
 
 func smooth(old, sample time.Duration, weight float64) time.Duration {
@@ -913,8 +911,6 @@
 	g.held = slices.DeleteFunc(g.held, func(q *request) bool { return !q.held })
 }
 
-// Cold hosts.
-
 // warmth is the fraction of its capacity that m surely has.
 func (r *Router) warmth(m *member, now time.Duration) float64 {
 	since := max(now-m.coldSince, 0)
