--- a/decide/report_test.go
+++ b/decide/report_test.go
@@ -17,7 +17,7 @@
 	}{
 		"never told":                          {0, 100 * ms, true},
 		"never told, of a host that hangs":    {0, 9 * second, true},
-		"made before the answer":              {600 * ms, 700 * ms, false},
+		"made before the answer":              {200 * ms, 300 * ms, false},
 		"made after the answer":               {600 * ms, 100 * ms, true},
 		"made after the answer, and long ago": {9 * second, 2 * second, false},
 		"made after a late answer":            {200 * ms, 100 * ms, true},
