--- a/cmd/lotusbend/leave_test.go
+++ b/cmd/lotusbend/leave_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -20,7 +21,11 @@
 		t.Fatal(err)
 	}
 	p := newPeer(t, c)
-	if _, err := io.ReadFull(p.in, make([]byte, len(wire.AppendStartup(nil, "app", "shop")))); err != nil {
+	n := make([]byte, wire.StartupHeaderLen)
+	if _, err := io.ReadFull(p.in, n); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.in.Discard(int(binary.BigEndian.Uint32(n)) - len(n)); err != nil {
 		t.Fatal(err)
 	}
 	return p
--- a/cmd/lotusbend/stop_test.go
+++ b/cmd/lotusbend/stop_test.go
@@ -18,12 +18,17 @@
 	"lotusbend/internal/options"
 )
 
-// stopped tells the router to stop and waits until it does; the linger is over.
-func (w *world) stopped() {
+// told tells the router to stop and waits until it has heard.
+func (w *world) told() {
 	w.stop()
 	for line := ""; !strings.Contains(line, "stopping"); {
 		line = <-w.logged
 	}
+}
+
+// stopped is told, with the linger over.
+func (w *world) stopped() {
+	w.told()
 	w.pass(lingerFor + stopBeat)
 }
 
--- a/cmd/lotusbend/story_test.go
+++ b/cmd/lotusbend/story_test.go
@@ -220,19 +220,8 @@
 // ReadyForQuery.
 func accept(t *testing.T, l net.Listener) *peer {
 	t.Helper()
-	c, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := newPeer(t, c)
-	n := make([]byte, 4)
-	if _, err := io.ReadFull(p.in, n); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := p.in.Discard(int(binary.BigEndian.Uint32(n)) - 4); err != nil {
-		t.Fatal(err)
-	}
-	p.write(wire.AppendReady(wire.AppendAuthenticationOk(nil)))
+	p := slow(t, l)
+	p.comesUp()
 	return p
 }
 
@@ -577,10 +566,7 @@
 	l := listen(t)
 	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
 	idle := w.client()
-	w.stop()
-	for line := ""; !strings.Contains(line, "stopping"); {
-		line = <-w.logged
-	}
+	w.told()
 	p := w.client()
 	p.query(write)
 	h := accept(t, l)
--- a/decide/ask_test.go
+++ b/decide/ask_test.go
@@ -16,10 +16,14 @@
 		answer func(g *rig, member uint32) // to the probe
 		probed bool
 		to     uint32
+		none   bool
 	}{
 		"it is fresh": {answer: func(g *rig, m uint32) {
 			g.r.Probed(g.now, ProbeResult{Member: m, Note: Note{Role: RoleReplica, Position: g.now - 100*ms}})
 		}, probed: true, to: 2},
+		"no class has a bound": {answer: func(g *rig, m uint32) {
+			g.r.Probed(g.now, ProbeResult{Member: m, Note: Note{Role: RoleReplica, Position: g.now}})
+		}, probed: true, to: 2, none: true},
 		"it is behind": {answer: func(g *rig, m uint32) {
 			g.r.Probed(g.now, ProbeResult{Member: m, Note: Note{Role: RoleReplica, Position: g.now - second}})
 		}, probed: true, to: 1},
@@ -32,6 +36,9 @@
 		if c.config != nil {
 			c.config(&cfg)
 		}
+		if c.none { // no class names a bound: a session's reads ask as well
+			cfg.Classes[bounded].Consistency = Session
+		}
 		g := newRig(t, cfg, trio())
 		for m := uint32(1); m <= 3; m++ {
 			g.r.Probed(g.now, ProbeResult{Member: m, Note: Note{Role: RoleReplica, Position: g.now}})
@@ -40,6 +47,9 @@
 		g.now += 2 * second
 		g.r.members[3].State = Draining // one replica is left
 		g.probes = nil
+		if c.none {
+			g.r.remember(g.r.members[1].g, 9, g.now-100*ms)
+		}
 		id := g.arrive(bounded)
 		for range 15 {
 			g.wait(beat)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -976,14 +976,14 @@
 // to the primaries together. It tells whether the read may wait for that.
 func (r *Router) ask(m *member, fresh bool, now time.Duration) bool {
 	age := now - max(m.lagAt, m.probedAt)
-	m.awaitsProbe = m.awaitsProbe || r.cfg.Probes && r.cfg.ReportsRole && r.bound > 0 && !m.open &&
-		(!r.cfg.Positions && age >= r.bound || !fresh && r.cfg.Check == Unchecked && age >= reportAge)
+	m.awaitsProbe = m.awaitsProbe || r.cfg.Probes && r.cfg.ReportsRole && !m.open &&
+		(!fresh && r.cfg.Check == Unchecked && age >= reportAge ||
+			!r.cfg.Positions && r.bound > 0 && age >= r.bound)
 	return m.awaitsProbe && (!m.probing || now-m.probedAt < scoutPace)
 }
 
 // lookAt opens the breaker of a member that takes work and answers none (hung, cut off, stuck), whatever the
-// cause. It could hurt where all stall together for long: then what comes in is held until they answer.
-// It also probes a member not heard yet.
+// cause, and probes one not heard yet. It could hurt where all stall together: what comes in is held.
 func (r *Router) lookAt(m *member, now time.Duration) {
 	if m.out > 0 && !m.open {
 		from := m.heardAt
--- a/internal/discovery/pace/watch.go
+++ b/internal/discovery/pace/watch.go
@@ -1,7 +1,5 @@
 package pace
 
-import "math/rand/v2"
-
 // A watch that falls silent is broken, though nothing says so, and what it
 // misses counts as told a while after: 6 s, or 2 s after the time for which
 // the service was asked to wait, if that is later. Every call is given up well
@@ -36,7 +34,7 @@
 // Call is one call for the list.
 type Call struct {
 	Resumes bool    // for what has changed since Index, else for the whole
-	Index   uint64  //
+	Index   uint64  // of the list that the router holds
 	Wait    float64 // how long the service may wait for news, in milliseconds
 	Limit   float64 // when the call is given up
 }
@@ -44,15 +42,13 @@
 // Watch is one router's watch of the list: which call comes next, and when.
 type Watch struct {
 	pace    *Pace
-	rng     *rand.Rand
 	resumes bool
 	index   uint64
 }
 
 // NewWatch returns a watch that has no list yet.
 func NewWatch(c Config, seed uint64) *Watch {
-	p := New(c, seed)
-	return &Watch{pace: p, rng: p.rng}
+	return &Watch{pace: New(c, seed)}
 }
 
 // Resume says that the router holds the list of that index: only what has
@@ -89,7 +85,7 @@
 func (w *Watch) Failed(f Failure) float64 {
 	switch f {
 	case Silent:
-		return silentRest * w.rng.Float64()
+		return silentRest * w.pace.rng.Float64()
 	case Refused, Unreadable:
 		w.resumes = false
 	}
