Run a client's pipelined statements side by side, and refuse what memory cannot hold

A trace of every message and answer in the front, one request followed by its id: on n0, connection c2, a write with a value of 103,631 bytes arrived behind one statement that waited; `arrived` (messages.go) counted it against maxAhead, 64 KiB, and put errAhead in its place: 08P01, end, no answer.

Ruled out: many short statements. No client had more than 12 commands under way; the 256 bytes for each never mattered. Not the write timeout either.

The trace shows why: one connection carries statements of every class and group, and each waited until the one before was answered, 100 ms to 5 s each.

Options weighed. Stopping the poller's reading: netpoll offers no way, and a paused connection no longer tells that its client has gone. A bound for each connection is the fault itself. A bound by the memory limit over all connections leaves out nobody who can be served. Entries for what cannot be held: a run of refusals is one entry with a count, so that a flood of statements costs no memory and each is still answered, in its turn.

Change: internal/postgres/pipeline (rules) holds a connection's commands in order. Those that do not conflict run at the same time, up to 64; writes of one group, and a write and a read that must see it, keep their order. Answers leave in turn. Statements and answers that wait are booked in a budget of a fifth of the memory limit, unread bytes in a tenth; past it a statement is refused in its turn (53300), other messages end their connection (53200). A statement whose time runs out while it waits is handed over with no time left and drops its text. A CancelRequest, with a secret now drawn at random, ends the oldest statement that runs: nothing is sent on for it.

Names of the package that needed explaining are replaced.

--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -61,7 +61,7 @@
 	n.pool = back.New(loop, back.Options{
 		ConnectTimeout: c.Settings.ConnectTimeout, IdleTimeout: c.Settings.ConnIdle,
 	}, budget, r)
-	if n.server, err = front.Listen(c.Listen, loop, budget, r); err != nil {
+	if n.server, err = front.Listen(c.Listen, loop, budget, c.MemoryMB, r); err != nil {
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
 	if opt.Edge != nil {
@@ -119,6 +119,7 @@
 		moved := c.Discovery != was.Discovery
 		was.Discovery, was.Sockets, was.MemoryMB = c.Discovery, c.Sockets, c.MemoryMB
 		n.budget.Resize(cmp.Or(c.Sockets, defaultSockets))
+		n.server.LimitMemory(c.MemoryMB)
 		n.log.Info("configuration read anew", "discovery", c.Discovery, "moved", moved, "sockets", c.Sockets)
 		if moved && len(n.watches) > 0 { // before the start there is none to go on until the new one is heard
 			n.follow(c.Discovery)
--- /dev/null
+++ b/internal/postgres/front/commands_test.go
@@ -0,0 +1,326 @@
+package front
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/cloudwego/netpoll"
+
+	"lotusbend/internal/netio"
+	"lotusbend/internal/postgres/wire"
+	"lotusbend/internal/router"
+)
+
+// large is a statement with a value of so many bytes.
+func large(id, size int) []byte {
+	return wire.AppendQuery(nil, fmt.Appendf(nil, "INSERT INTO items VALUES ('\\x%s') /* id=%d,c=w,d=900,cluster=1 */",
+		strings.Repeat("ab", size), id))
+}
+
+// A bound on memory is no fault of the client: a value as long as any may be,
+// and many statements, behind one that is under way are all answered.
+func TestLongAndManyStatementsBehindOneAreAnswered(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	b := write(0)
+	for n := range 3 {
+		b = append(b, large(1+n, 64<<10)...)
+	}
+	for n := range 600 {
+		b = append(b, write(4+n)...)
+	}
+	go func() { _, _ = u.c.Write(b) }()
+	for n := range 604 {
+		d.submitted(n + 1)
+		d.answer(n)
+		u.want(u.hear("Z"), fmt.Sprint("value", n))
+	}
+}
+
+// Reads run at the same time; their answers leave in the order of the commands.
+func TestReadsRunAtTheSameTimeAndAreAnsweredInOrder(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	u.write(append(append(read(1), read(2)...), "S\x00\x00\x00\x04"...))
+	d.submitted(2)
+	d.answer(1)
+	d.until(func() bool { return d.only().queue.Len() == 3 })
+	d.loop.Do(func() {
+		if d.only().sending {
+			t.Error("an answer has left before its turn")
+		}
+	})
+	d.answer(0)
+	u.want(u.hear("Z")+u.hear("Z")+u.hear("Z"), "value0", "Z", "value1", "Z", "Z")
+}
+
+// A write runs after the writes before it.
+func TestWritesRunInOrder(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	u.write(append(append(write(1), write(2)...), read(3)...))
+	d.until(func() bool { return d.only().queue.Len() == 3 })
+	d.loop.Do(func() {
+		if len(d.taken) != 2 || !strings.Contains(d.taken[1].text, "id=3") {
+			t.Errorf("taken %+v, want the first write and the read", d.taken)
+		}
+	})
+	d.answer(0)
+	d.submitted(3)
+}
+
+// A statement whose time runs out while it waits for another needs no attempt
+// and no text, only its answer in its turn.
+func TestStatementThatExpiresWhileItWaits(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	u.write(append(write(1), large(2, 64<<10)...))
+	d.until(func() bool { return d.only().queue.Len() == 2 })
+	d.pass(900)
+	d.submitted(2)
+	d.loop.Do(func() {
+		if d.taken[1].wait != 0 {
+			t.Errorf("it is handed over with %v ms left", d.taken[1].wait)
+		}
+		d.server.Answer(d.taken[1].ref, router.Answer{Verdict: router.Refused})
+		if held := d.held(); held > 4<<10 {
+			t.Errorf("%d bytes are held", held)
+		}
+	})
+	d.answer(0)
+	u.want(u.hear("Z")+u.hear("Z"), "value0", "53300")
+}
+
+// What breaks the protocol, or says goodbye, behind a statement under way takes
+// nothing from that one's answer.
+func TestWhatComesBehindAStatementDoesNotTakeItsAnswer(t *testing.T) {
+	for name, c := range map[string]struct{ behind, want string }{
+		"no message": {"Q\x00\x00\x00\x00", "08P01"},
+		"goodbye":    {"X\x00\x00\x00\x04", "end"},
+	} {
+		d := newDesk(t, 100)
+		u := d.connect()
+		u.write(append(read(1), c.behind...))
+		d.until(func() bool { one := d.only(); return len(d.taken) == 1 && one.queue.Len() == 2 })
+		d.answer(0)
+		if got := u.hear("Z"); !strings.Contains(got, "value0") {
+			t.Errorf("%s: got %q", name, got)
+		}
+		u.want(u.hear("no such"), c.want)
+	}
+}
+
+// Many connections that send more than memory holds: each statement is answered
+// in its turn, refused where there was no room, and memory stays bounded.
+func TestFloodOfStatementsIsRefusedInTurnWithinMemory(t *testing.T) {
+	const clients, each = 8, 4000
+	d := newDesk(t, 100)
+	var users []*user
+	for n := range clients {
+		u := d.connect()
+		users = append(users, u)
+		var b []byte
+		for range each {
+			b = append(b, write(n)...)
+		}
+		go func() { _, _ = u.c.Write(b) }()
+	}
+	most := testMemoryMB * (1 << 20) / 4
+	d.submitted(clients)
+	d.until(func() bool { // all was read, and most of it had no room
+		if used := d.held(); used > most {
+			t.Errorf("%d bytes are held, want %d at most", used, most)
+		}
+		read := 0
+		for n := range clients {
+			if c := d.server.clients.At(uint32(n)); c != nil && c.unread == 0 && c.queue.Commands() == each {
+				read++
+			}
+		}
+		return read == clients
+	})
+	go func() { // whatever is taken is answered
+		for n := 0; ; n++ {
+			done := false
+			d.loop.Do(func() { done = d.held() == 0 })
+			if done {
+				return
+			}
+			d.until(func() bool { return len(d.taken) > n || d.held() == 0 })
+			d.loop.Do(func() {
+				if n < len(d.taken) {
+					d.server.Answer(d.taken[n].ref, router.Answer{Verdict: router.Failed})
+				}
+			})
+		}
+	}()
+	refused := 0
+	for _, u := range users {
+		for range each {
+			if strings.Contains(u.hear("Z"), "53300") {
+				refused++
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("no statement was refused: memory was not short")
+	}
+}
+
+// A flood of messages that cannot be counted together ends its connection, in
+// its turn, once memory is short.
+func TestFloodOfOtherMessagesEndsItsConnection(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	u.write(read(1))
+	d.submitted(1)
+	flood := strings.Repeat("S\x00\x00\x00\x04Q\x00\x00\x00\x05\x00", testMemoryMB*(1<<20)/commandSize)
+	go func() { _, _ = u.c.Write([]byte(flood)) }()
+	d.until(func() bool { return d.only().discarding || d.only().queue.Len() > len(flood) })
+	d.loop.Do(func() {
+		if used := d.held(); used > testMemoryMB*(1<<20)/2 {
+			t.Errorf("%d bytes are held", used)
+		}
+	})
+	d.answer(0)
+	u.want(u.hear("no such"), "value0", "53200")
+}
+
+// readAhead is a connection of which a lot was read, and that takes no bytes.
+type readAhead struct {
+	netpoll.Connection
+	in *netpoll.LinkBuffer
+}
+
+func (f *readAhead) Reader() netpoll.Reader      { return f.in }
+func (f *readAhead) Write(b []byte) (int, error) { return len(b), nil }
+func (f *readAhead) Close() error                { return nil }
+
+// The poller reads on whatever becomes of it: who has sent more than memory
+// holds is not served any further.
+func TestUnreadBytesAreBounded(t *testing.T) {
+	d := newDesk(t, 100)
+	f := &readAhead{in: netpoll.NewLinkBuffer()}
+	if _, err := f.in.WriteString(strings.Repeat("H\x00\x00\x00\x04", testMemoryMB*(1<<20)/5)); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.in.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	c := &client{server: d.server, conn: netio.NewConn(f), greeted: true}
+	d.loop.Do(func() { c.ref = d.server.clients.Add(c) })
+	if err := c.onData(f); err != nil || !c.discarding || !c.conn.Finishing() {
+		t.Errorf("%v; the rest is read: %v", err, !c.discarding)
+	}
+}
+
+// Parts of long messages on many connections are bounded together.
+func TestPartsOfLongMessagesAreBounded(t *testing.T) {
+	d := newDesk(t, 100)
+	most := testMemoryMB * (1 << 20) / 10
+	part := binary.BigEndian.AppendUint32([]byte("Q"), wire.MaxMessage+4)
+	var users []*user
+	for range most/wire.MaxMessage + 1 {
+		u := d.connect()
+		u.write(part)
+		users = append(users, u)
+		d.until(func() bool { // each after the one before
+			n := 0
+			for i := range users {
+				if c := d.server.clients.At(uint32(i)); c != nil && (c.partial && c.unread >= wire.MaxMessage || c.closing) {
+					n++
+				}
+			}
+			return n == len(users)
+		})
+	}
+	last := users[len(users)-1]
+	last.want(last.hear("no such"), "53200", "end")
+}
+
+// A client that cancels its statement has gone, as far as that is concerned;
+// one that does not know the secret cancels nothing.
+func TestCancelRequestEndsTheStatement(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	u.write(append(write(1), write(2)...))
+	d.submitted(1)
+	var process, secret uint32
+	d.loop.Do(func() { process, secret = d.only().ref.Slot, d.only().secret })
+	request := func(secret uint32) {
+		b := binary.BigEndian.AppendUint32(nil, 16)
+		for _, v := range []uint32{wire.CancelRequest, process, secret} {
+			b = binary.BigEndian.AppendUint32(b, v)
+		}
+		c, err := net.Dial("tcp", d.server.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write(b); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Read(make([]byte, 1)) // its end
+		_ = c.Close()
+	}
+	request(secret + 1)
+	d.loop.Do(func() {
+		if d.lapsed != 0 {
+			t.Error("cancelled by one that does not know the secret")
+		}
+	})
+	request(secret)
+	d.submitted(2)
+	d.loop.Do(func() {
+		if d.lapsed != 1 {
+			t.Errorf("%d requests lapsed, want 1", d.lapsed)
+		}
+	})
+	u.want(u.hear("Z"), "57014")
+	d.answer(1)
+	u.want(u.hear("Z"), "value1")
+}
+
+// A client that does not read holds a bounded part of its answers in memory,
+// and is cut off after the timeout; its requests lapse.
+func TestClientThatReadsNothingIsCutOff(t *testing.T) {
+	d := newDesk(t, 100)
+	u := d.connect()
+	if err := u.c.SetReadBuffer(1 << 10); err != nil {
+		t.Fatal(err)
+	}
+	var b []byte
+	for n := range 400 {
+		b = append(b, read(n)...)
+	}
+	go func() { _, _ = u.c.Write(b) }()
+	row := &router.Row{Column: []byte("doc"), Value: make([]byte, 64<<10), Tag: []byte("SELECT 1")}
+	for n := 0; ; n++ { // until the next one waits for an answer to leave
+		stuck := false
+		for i := 0; !stuck; i++ {
+			d.loop.Do(func() {
+				if n < len(d.taken) {
+					d.server.Answer(d.taken[n].ref, router.Answer{Verdict: router.Served, Row: row})
+					stuck = true
+				}
+			})
+			if i > 100000 {
+				break
+			}
+			runtime.Gosched()
+		}
+		if !stuck {
+			break
+		}
+	}
+	d.loop.Do(func() {
+		if used := d.held(); used > testMemoryMB*(1<<20)/2 || !d.only().sending {
+			t.Errorf("%d bytes are held; sending: %v", used, d.only().sending)
+		}
+	})
+	d.pass(writeTimeout)
+	d.until(func() bool { return d.only() == nil && d.held() == 0 })
+}
--- a/internal/postgres/front/front.go
+++ b/internal/postgres/front/front.go
@@ -1,65 +1,45 @@
 // Package front serves clients that speak the PostgreSQL protocol. It
 // turns their statements into the router's neutral requests and the router's
 // answers into messages.
+//
+// A connection is read in its own goroutine (input.go). Its commands stand in a
+// queue (commands.go): statements that do not conflict run at the same time,
+// and their answers leave in the order of the commands. closing.go ends
+// connections: idle, evicted, drained or at fault.
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"math"
+	"math/rand/v2"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 
 	"lotusbend/internal/clock"
 	"lotusbend/internal/netio"
+	"lotusbend/internal/postgres/pipeline"
 	"lotusbend/internal/postgres/wire"
 	"lotusbend/internal/router"
 	"lotusbend/internal/slots"
 )
 
 const (
-	// quietLimit is how long, in milliseconds, a connection may go without a
-	// request under way: one that has not said a whole statement by then is
-	// ended, and any other may be, if its socket is wanted.
-	quietLimit = 2000
-	// idleLimit ends the others: some clients keep their connections for good.
-	idleLimit = 10000
-	// writeTimeout ends a connection whose client does not read its answer.
-	writeTimeout = 5000
-	// leaveTimeout is how long a client may take to hear that it is let go.
-	leaveTimeout = 1000
-	// maxLeaving bounds the clients told to go that have not gone, which live
-	// on the descriptors kept in reserve, and spareLeaving the share of those
-	// that nobody has taken that they may hold beside: a close without a word
-	// looks to a client like a router that has died.
-	maxLeaving   = 12
-	spareLeaving = 0.5
-	// maxParting is what a client that is let go, or broke the protocol, may
-	// still send: reading on would cost more than it is worth.
-	maxParting = 64 << 10
-	// arriving is how long, in milliseconds, after a drain began nobody is let go:
-	// what had come by then may be on its way from the system to the buffer,
-	// where Quiet sees it in neither.
-	arriving = 10
-	// crossing is for how long, in milliseconds, a statement read after a drain
-	// began may have come before it.
-	crossing = 100
-	// maxWait bounds the wait that a client may state.
-	maxWait = 60000
-	// keepAlive is how long a silent client's system may stay unasked.
-	keepAlive = time.Minute
-	// maxAhead bounds what a client may send ahead of its answers, one message aside.
-	maxAhead = 64 << 10
-	// minAhead is what a queued message counts at least.
-	minAhead = 256
-	// maxUnread bounds what may wait in a read buffer: the poller reads on
-	// whatever becomes of it.
-	maxUnread = wire.MaxMessage + maxAhead
+	// queuedShare and unreadShare of the process's memory limit are the budgets
+	// for what clients may make the router hold beside the one request that each
+	// may always have under way. Buffers, the collector's reserve and the binary
+	// share the rest.
+	queuedShare = 0.2
+	unreadShare = 0.1
+	// defaultMemoryMB stands in where the configuration sets no limit.
+	defaultMemoryMB = 192
 )
 
+// keepAlive is how long a silent client's system may stay unasked.
+const keepAlive = time.Minute
+
 // Requests is what clients' statements go to, inside the loop's Do.
 type Requests interface {
 	Class(name []byte) (router.Class, bool)
@@ -69,62 +49,58 @@
 
 // Server holds the clients' connections.
 type Server struct {
-	loop     *clock.Loop
-	budget   *netio.Budget
-	requests Requests
-	clients  slots.Table[client]
-	open     map[string]struct{} // the ids of the requests under way
-	events   netpoll.EventLoop
-	listener net.Listener
-	closing  bool
-	closedAt float64 // since when it drains
-	asked    int     // clients that have sent a whole statement
-	leaving  int     // clients on the descriptors kept in reserve
+	loop       *clock.Loop
+	budget     *netio.Budget
+	queued     netio.Memory // statements sent ahead, and answers that wait for their turn
+	unread     netio.Memory // bytes that were read and not looked at
+	requests   Requests
+	clients    slots.Table[client]
+	running    slots.Table[statement] // those that the router has
+	ids        map[string]struct{}    // of these, as their clients named them
+	events     netpoll.EventLoop
+	listener   net.Listener
+	draining   bool
+	drainBegan float64
+	active     int // clients that have sent a whole statement
+	onReserve  int // clients on the descriptors kept in reserve
 }
 
 // client is one connection. What the owner's lock guards stands first; the
 // rest belongs to the connection's own callbacks.
 type client struct {
-	ref     slots.Ref
-	server  *Server
-	link    *netio.Conn
-	ended   bool            // it has no slot
-	reserve bool            // it lives on the descriptors kept in reserve
-	leaving bool            // nothing more is taken from it
-	busy    bool            // with a request
-	sending bool            // the answer to it
-	asked   bool            // it has sent a whole statement
-	half    bool            // it has sent a part of a message
-	quietAt float64         // since when it has no request under way, or only that part
-	check   *clock.Deadline // of being quiet
-	leave   *clock.Deadline // of leaving, or of reading its answer
-	request slots.Ref
-	id      string    // that its client gave the request
-	ahead   []message // in the order they came
-	size    int       // of ahead
-
-	goodbye  []byte // to one without a slot
-	deaf     bool   // the rest of what it sends is not read as messages
-	parting  int    // how much that was
-	greeted  bool
-	skipping bool // after an error in the extended protocol, until Sync
-}
-
-// message is one that waits for the answers before it.
-type message struct {
-	kind byte // as on the wire
-	body []byte
-	at   float64 // when it came
-	err  error   // why it could not be read, nor anything after it
+	ref       slots.Ref
+	secret    uint32 // that a CancelRequest has to show
+	server    *Server
+	conn      *netio.Conn
+	released  bool            // it has no slot
+	onReserve bool            // it lives on the descriptors kept in reserve
+	closing   bool            // nothing more is accepted from it
+	sending   bool            // answers that are not all with the system
+	active    bool            // it has sent a whole statement
+	partial   bool            // it has sent a part of a message
+	starting  bool            // startCommands is under way
+	skipping  bool            // after an error in the extended protocol, until Sync
+	idleSince float64         // since when it has no command under way, or only that part
+	idleCheck *clock.Deadline // of being idle
+	closeBy   *clock.Deadline // for reading its answer, or for going once told
+	queue     pipeline.Queue[*statement]
+	unread    int // bytes booked for what was read and not looked at
+
+	rejection  []byte // to one without a slot
+	discarding bool   // the rest of what it sends is not read as messages
+	discarded  int    // how many bytes that was
+	greeted    bool
 }
 
-// Listen opens the socket for clients; it takes none before Serve.
-func Listen(address string, loop *clock.Loop, budget *netio.Budget, requests Requests) (*Server, error) {
+// Listen opens the socket for clients; it takes none before Serve. memoryMB is
+// the process's limit, 0 for none.
+func Listen(address string, loop *clock.Loop, budget *netio.Budget, memoryMB float64, requests Requests) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{loop: loop, budget: budget, requests: requests, listener: ln, open: map[string]struct{}{}}
+	s := &Server{loop: loop, budget: budget, requests: requests, listener: ln, ids: map[string]struct{}{}}
+	s.LimitMemory(memoryMB)
 	s.events, err = netpoll.NewEventLoop(
 		func(ctx context.Context, nc netpoll.Connection) error { return fromContext(ctx).onData(nc) },
 		netpoll.WithOnPrepare(s.accepted), netpoll.WithOnConnect(s.connected), netpoll.WithIdleTimeout(keepAlive))
@@ -134,6 +110,14 @@
 	return s, nil
 }
 
+// LimitMemory divides the process's memory limit, in MB; 0 stands for none. It
+// runs inside Do once clients are served.
+func (s *Server) LimitMemory(limitMB float64) {
+	limit := cmp.Or(max(limitMB, 0), defaultMemoryMB) * (1 << 20)
+	s.queued.Resize(int(limit * queuedShare))
+	s.unread.Resize(int(limit * unreadShare))
+}
+
 // Address returns where the server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
@@ -146,107 +130,54 @@
 
 // accepted gives a new connection its slot.
 func (s *Server) accepted(nc netpoll.Connection) context.Context {
-	c := &client{server: s, link: netio.NewConn(nc)}
+	c := &client{server: s, conn: netio.NewConn(nc), secret: rand.Uint32()}
 	s.loop.Do(func() {
 		switch {
-		case s.closing:
-			c.turnAway(wire.CodeCannotConnectNow, "the router is stopping")
+		case s.draining:
+			c.reject(wire.CodeCannotConnectNow, "the router is stopping")
 			return
-		case !s.budget.TakeClient() && !(s.makeRoom() && s.budget.TakeClient()):
-			c.turnAway(wire.CodeTooManyConnections, "too many clients")
+		case !s.budget.TakeClient() && !(s.evictOne() && s.budget.TakeClient()):
+			c.reject(wire.CodeTooManyConnections, "too many clients")
 			return
 		}
 		c.ref = s.clients.Add(c)
-		c.quiet()
+		c.beginIdle()
 	})
 	_ = nc.AddCloseCallback(func(netpoll.Connection) error { // returns nil only
-		s.loop.Do(c.hungUp)
+		s.loop.Do(c.disconnected)
 		return nil
 	})
 	return context.WithValue(context.Background(), contextKey{}, c)
 }
 
-// turnAway marks a connection that gets no slot.
-func (c *client) turnAway(code, message string) {
-	c.ended, c.leaving, c.reserve = true, true, true
-	c.goodbye = wire.AppendError(nil, "FATAL", code, message, "")
-	c.server.leaving++
+// reject marks a connection that gets no slot.
+func (c *client) reject(code, message string) {
+	c.released, c.closing, c.onReserve = true, true, true
+	c.rejection = wire.AppendError(nil, "FATAL", code, message, "")
+	c.server.onReserve++
 }
 
-func (s *Server) mostLeaving() int { return maxLeaving + int(spareLeaving*float64(s.budget.Spare())) }
-
-// connected ends a connection that was turned away. It comes after netpoll
-// has registered the descriptor: one closed before could be another's by then.
+// connected ends a connection that was rejected. It comes after netpoll has
+// registered the descriptor: one closed before could be another's by then.
 func (s *Server) connected(ctx context.Context, _ netpoll.Connection) context.Context {
 	c := fromContext(ctx)
-	if c.goodbye == nil {
+	if c.rejection == nil {
 		return ctx
 	}
 	s.loop.Do(func() {
-		if s.leaving > s.mostLeaving() {
-			c.link.Close()
+		if s.onReserve > s.mostOnReserve() {
+			c.conn.Close()
 			return
 		}
-		c.link.Send(c.goodbye, nil)
-		c.part()
+		c.conn.Send(c.rejection, nil)
+		c.halfClose()
 	})
 	return ctx
 }
 
-// Answer implements router.Client.
-func (s *Server) Answer(ref slots.Ref, a router.Answer) {
-	c := s.clients.Get(ref)
-	if c == nil || !c.busy {
-		return
-	}
-	c.busy = false
-	delete(s.open, c.id)
-	c.quiet()
-	// What came ahead waits until this is with the system: a client that does
-	// not read may hold one answer in memory, not many.
-	c.sending = true
-	c.link.Send(wire.AppendReady(appendAnswer(nil, a)), func(err error) { s.loop.Do(func() { c.sent(err) }) })
-	c.leave = s.loop.At(s.loop.Now()+writeTimeout, c.link.Close)
-}
-
-// sent takes up what waited for an answer to leave. Where it never left, the
-// client has gone or is cut off, and nothing is taken up for it.
-func (c *client) sent(err error) {
-	if err != nil {
-		c.link.Close()
-		return
-	}
-	c.sending = false
-	c.server.loop.Cancel(c.leave)
-	c.next()
-	c.server.trim()
-}
-
-// next takes up the messages that waited for an answer.
-func (c *client) next() {
-	for len(c.ahead) > 0 && !c.busy && !c.sending && !c.ended && !c.leaving {
-		m := c.ahead[0]
-		c.ahead = c.ahead[1:]
-		c.size -= max(len(m.body), minAhead)
-		c.handle(m)
-	}
-	c.settle()
-}
-
-func appendAnswer(b []byte, a router.Answer) []byte {
-	switch a.Verdict {
-	case router.Served:
-		b = wire.AppendRowDescription(b, wire.Column{
-			Name: a.Row.Column, Type: a.Row.Type, Size: a.Row.Size, Binary: a.Row.Binary,
-		})
-		b = wire.AppendDataRow(b, a.Row.Value)
-		return wire.AppendComplete(b, a.Row.Tag)
-	case router.Refused:
-		detail := ""
-		if a.RetryAfter > 0 {
-			detail = strconv.Itoa(int(math.Floor(a.RetryAfter)))
-		}
-		return wire.AppendError(b, "ERROR", wire.CodeTooManyConnections, "refused: try again later", detail)
-	}
-	return wire.AppendError(b, "ERROR", wire.CodeCancelled, "the request failed; it may have had an effect", "")
+// Open returns how many clients have a slot, and how many others were told to
+// go and have not gone. It runs inside Do.
+func (s *Server) Open() (clients, closing int) {
+	s.clients.Each(func(slots.Ref, *client) { clients++ })
+	return clients, s.onReserve
 }
--- a/internal/postgres/wire/wire.go
+++ b/internal/postgres/wire/wire.go
@@ -54,6 +54,7 @@
 	CodeSyntax             = "42601"
 	CodeUnsupported        = "0A000"
 	CodeCancelled          = "57014"
+	CodeOutOfMemory        = "53200"
 )
 
 // ErrMalformed is wrapped by every error about a message's contents.
@@ -84,6 +85,18 @@
 // StartupCode reads the version or request code of a first message's rest.
 func StartupCode(body []byte) uint32 { return binary.BigEndian.Uint32(body) }
 
+// cancelLen is the length of a CancelRequest's body.
+const cancelLen = 12
+
+// CancelKey reads which connection a CancelRequest names, and the secret that
+// proves its right to.
+func CancelKey(body []byte) (process, secret uint32, ok bool) {
+	if len(body) != cancelLen {
+		return 0, 0, false
+	}
+	return binary.BigEndian.Uint32(body[4:]), binary.BigEndian.Uint32(body[8:]), true
+}
+
 // Text reads the body of a Query: one string.
 func Text(body []byte) ([]byte, error) {
 	i := bytes.IndexByte(body, 0)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -149,6 +149,8 @@
 	Write  bool // only a primary takes it
 	Keyed  bool // it needs an idempotency key
 	Fresh  bool // it sees all that was written before it came
+	// Session is true of a read that sees its session's own writes.
+	Session bool
 	// KeyTTL is for how many milliseconds a shard drops a repeat of a key.
 	KeyTTL float64
 }
@@ -159,7 +161,7 @@
 		if c := &r.cfg.Classes[i]; c.Name == string(name) {
 			return Class{
 				Number: i, Write: c.Consistency == decide.Write, Keyed: c.Repeat == decide.Keyed,
-				Fresh: c.Consistency == decide.Fresh, KeyTTL: clock.Millis(c.KeyTTL),
+				Fresh: c.Consistency == decide.Fresh, Session: c.Consistency == decide.Session, KeyTTL: clock.Millis(c.KeyTTL),
 			}, true
 		}
 	}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -47,6 +47,14 @@
 	return t.slots[r.Slot].value
 }
 
+// At returns what is in a slot now, whatever its generation, nil if nothing is.
+func (t *Table[T]) At(slot uint32) *T {
+	if int(slot) >= len(t.slots) {
+		return nil
+	}
+	return t.slots[slot].value
+}
+
 // Remove frees the slot that r names.
 func (t *Table[T]) Remove(r Ref) {
 	if t.Get(r) != nil {
