Ask for the list within 3 s of any failure but a busy service's

Need: a change of the list counts as told 6 s after discovery had it and could be reached, whatever became of earlier calls. Where the list is asked for, `Pace.Failed` (pace.go) let waits after failures grow to three times the time to ask within, 30 s on deployments that grant 10 s, and `First` waited up to 5 s.

Weighed: a bound for every failure. A fleet of 100 whose service needs 120 ms a call then never settles (10,000 calls, measured in TestAFleetThatStartsTogetherIsAnswered), so where the service says that it is too busy the old bound stays; it is a question to the operators.

Tests: refused, hanging, ended, reset, silent, error, no list and cut short, 12 in a row each, in four kinds of deployment: the next call comes within 5 s of the last one's beginning; fails without the bound. Two more tests for the pipeline: running side by side stops where memory does, a late statement's text is dropped; each fails without its guard.

--- a/internal/discovery/pace/pace.go
+++ b/internal/discovery/pace/pace.go
@@ -17,10 +17,16 @@
 	// pushMost bounds the waits where the list comes by itself: what the agent
 	// has counts as told, heard or not, and asking it costs nothing.
 	pushMost = 200
-	// failedShare of the time to ask within bounds the waits after failures:
-	// the settings allow four times that time after a failed call, and the
-	// draw adds up to a half.
-	failedShare = 2
+	// restMost bounds the wait before the first call and after every failure but
+	// a busy service. A change counts as told 6 s after discovery had it and could
+	// be reached, whatever became of earlier calls; a dial that hangs and the
+	// call's turn at the service come on top.
+	restMost = 3000
+	// busyShare of the time to ask within bounds the waits where the service says
+	// that it is too busy: the settings allow four times that time after a failed
+	// call, and the draw adds up to a half. Calls that came sooner would keep it
+	// busy for good.
+	busyShare = 2
 	// firstShare of it bounds the wait before the first call: a router that has
 	// not asked by then counts as told, and its call takes its turn.
 	firstShare = 0.5
@@ -47,9 +53,8 @@
 		p.first *= float64(max(c.Routers, 1))
 		if c.AskWithin > 0 {
 			p.first = min(p.first, firstShare*c.AskWithin)
-			p.most = max(p.most, failedShare*c.AskWithin)
 		}
-		p.most = max(p.most, p.first)
+		p.most = max(pushMost, busyShare*c.AskWithin, p.first)
 	}
 	p.next = p.first
 	return p
@@ -61,14 +66,18 @@
 	if !p.ask || !hasList {
 		return 0
 	}
-	return p.first * p.rng.Float64()
+	return min(p.first, restMost) * p.rng.Float64()
 }
 
-// Failed returns how long to wait after a call that failed.
-func (p *Pace) Failed() float64 {
+// Failed returns how long to wait after a call that failed; busy says that the
+// service was reached and has too many calls to answer this one.
+func (p *Pace) Failed(busy bool) float64 {
 	wait := p.next * (0.5 + p.rng.Float64())
 	p.next = min(2*p.next, p.most)
-	return wait
+	if busy {
+		return wait
+	}
+	return min(wait, restMost*(0.5+p.rng.Float64()/2))
 }
 
 // Heard tells that a call was answered.
--- a/internal/discovery/pace/pace_test.go
+++ b/internal/discovery/pace/pace_test.go
@@ -49,7 +49,7 @@
 			c.p.Heard()
 			last = max(last, end)
 		} else {
-			due = append(due, call{end + c.p.Failed(), c.p})
+			due = append(due, call{end + c.p.Failed(true), c.p})
 		}
 	}
 	return last, calls
@@ -70,30 +70,34 @@
 	}
 }
 
-// Waits stay within what the settings allow, whatever these say.
+// Waits stay within what the settings allow, and so short that a change is
+// heard before it counts as told, whatever the settings say.
 func TestWaitsStayWithinTheSettings(t *testing.T) {
 	for _, c := range []Config{
 		{Routers: 80, MustAsk: true, AskWithin: 10000}, {Routers: 5000, MustAsk: true, AskWithin: 10000},
 		{Routers: -3, MustAsk: true}, {Routers: 80, AskWithin: 10000}, {},
 	} {
 		p := New(c, 7)
-		if w := p.First(true); w < 0 || (c.AskWithin > 0 && w > c.AskWithin/2) || (!c.MustAsk && w != 0) {
+		if w := p.First(true); w < 0 || w > 3000 || (c.AskWithin > 0 && w > c.AskWithin/2) || (!c.MustAsk && w != 0) {
 			t.Errorf("%+v: first call after %.0f ms", c, w)
 		}
 		if p.First(false) != 0 {
 			t.Errorf("%+v: a router without a list waits", c)
 		}
-		most := 1.5 * pushMost
+		most, busyMost := 1.5*pushMost, 1.5*pushMost
 		if c.MustAsk {
-			most = max(most, 4*c.AskWithin)
+			most, busyMost = 3000, max(busyMost, 4*c.AskWithin)
 		}
 		for range 40 {
-			if w := p.Failed(); w <= 0 || w > most {
+			if w := p.Failed(true); w <= 0 || w > busyMost {
+				t.Errorf("%+v: %.0f ms after a busy service", c, w)
+			}
+			if w := p.Failed(false); w <= 0 || w > most {
 				t.Errorf("%+v: %.0f ms after a failure", c, w)
 			}
 		}
 		p.Heard()
-		if w := p.Failed(); w > 1.5*p.first {
+		if w := p.Failed(true); w > 1.5*p.first {
 			t.Errorf("%+v: %.0f ms after the first failure since an answer", c, w)
 		}
 	}
@@ -103,7 +107,7 @@
 func TestFailuresTogetherReturnApart(t *testing.T) {
 	var waits []float64
 	for i := range 50 {
-		waits = append(waits, New(Config{Routers: 50}, uint64(i)).Failed())
+		waits = append(waits, New(Config{Routers: 50}, uint64(i)).Failed(false))
 	}
 	slices.Sort(waits)
 	if spread := waits[45] - waits[5]; spread < aCall/2 {
--- a/internal/discovery/pace/watch.go
+++ b/internal/discovery/pace/watch.go
@@ -75,7 +75,7 @@
 	w.resumes = whole || !c.Resumes || index >= c.Index
 	w.index = index
 	if c.Resumes && !whole && (!news || !w.resumes) && took < c.Wait/2 {
-		return w.pace.Failed()
+		return w.pace.Failed(false)
 	}
 	w.pace.Heard()
 	return 0
@@ -89,5 +89,5 @@
 	case Refused, Unreadable:
 		w.resumes = false
 	}
-	return w.pace.Failed()
+	return w.pace.Failed(f == Busy)
 }
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"syscall"
 	"testing"
 
 	"lotusbend/internal/clock"
@@ -22,13 +23,13 @@
 	at    *clock.Clock
 	loop  *clock.Loop
 	news  chan List
-	dials chan chan net.Conn
+	dials chan chan net.Conn // a nil connection is a refusal
 	l     net.Listener
 	c     *net.TCPConn // discovery's end
 	in    *bufio.Reader
 }
 
-func newScript(t *testing.T) *script {
+func newScript(t *testing.T, config pace.Config) *script {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -39,7 +40,7 @@
 	s.loop = clock.NewLoop(s.at)
 	w := &Watcher{
 		Loop: s.loop, Log: slog.New(slog.DiscardHandler), Names: NewNames(nil),
-		Watch: pace.NewWatch(pace.Config{}, 1), News: func(n List) { s.news <- n },
+		Watch: pace.NewWatch(config, 1), News: func(n List) { s.news <- n },
 		dial: func(ctx context.Context, _ string) (net.Conn, error) {
 			to := make(chan net.Conn)
 			select {
@@ -49,6 +50,9 @@
 			}
 			select {
 			case c := <-to:
+				if c == nil {
+					return nil, syscall.ECONNREFUSED
+				}
 				return c, nil
 			case <-ctx.Done():
 				return nil, ctx.Err()
@@ -94,6 +98,40 @@
 	}
 }
 
+// rest lets the rest before the next call pass, and leaves the deadlines of the
+// dial and the call that began then.
+func (s *script) rest(began float64) {
+	for {
+		due, ok := s.loop.Next()
+		if ok && due != began+dialTimeout && due != began+callLimit {
+			s.at.Set(due)
+			s.loop.Fire()
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
+// callLimit is when any call is given up.
+const callLimit = 4000
+
+// call lets the dial under way come up, and reads the call.
+func (s *script) call() {
+	s.t.Helper()
+	s.connect()
+	if _, err := http.ReadRequest(s.in); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// status answers with no list.
+func (s *script) status(status string) {
+	s.t.Helper()
+	if _, err := fmt.Fprintf(s.c, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", status); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 func (s *script) list(index int) {
 	s.t.Helper()
 	body := fmt.Sprintf(`{"index":%d,"snapshot":true,"endpoints":[]}`, index)
@@ -123,7 +161,7 @@
 // A watch that falls silent, in a call that waits or in one that does not, is
 // opened anew before what it misses counts as told.
 func TestSilentWatchIsOpenedAnew(t *testing.T) {
-	s := newScript(t)
+	s := newScript(t, pace.Config{})
 	s.connect()
 	s.asked(whole)
 	for range 2 { // for the whole list, then for changes
@@ -147,9 +185,42 @@
 	}
 }
 
+// Whatever became of the calls before, and however often, a change is asked for
+// before it counts as told, 6 s after discovery had it and could be reached:
+// at the earliest just after the last failing call had begun.
+func TestChangeIsAskedForInTimeAfterAnyFailures(t *testing.T) {
+	const inTime = 5000 // a turn at the service comes on top
+	failures := map[string]func(s *script){
+		"refused":   func(s *script) { <-s.dials <- nil },
+		"hangs":     func(s *script) { <-s.dials; s.step(dialTimeout) },
+		"ended":     func(s *script) { s.call(); _ = s.c.Close() },
+		"reset":     func(s *script) { s.call(); _ = s.c.SetLinger(0); _ = s.c.Close() },
+		"silent":    func(s *script) { s.call(); s.step(6000) },
+		"error":     func(s *script) { s.call(); s.status("500 Internal Server Error") },
+		"no list":   func(s *script) { s.call(); s.write("Content-Length: 1\r\n\r\n[") },
+		"cut short": func(s *script) { s.call(); s.write("Content-Length: 9\r\n\r\n["); _ = s.c.Close() },
+	}
+	for mode, config := range map[string]pace.Config{
+		"pushed": {Routers: 300}, "asked": {Routers: 300, MustAsk: true, AskWithin: 10000},
+		"asked by many": {Routers: 3000, MustAsk: true, AskWithin: 60000}, "asked, untold": {Routers: 300, MustAsk: true},
+	} {
+		for name, fail := range failures {
+			s := newScript(t, config)
+			for range 12 {
+				began := s.at.Now()
+				fail(s)
+				s.rest(began)
+				if took := s.at.Now() - began; took > inTime {
+					t.Errorf("%s, %s: the next call comes after %.0f ms", mode, name, took)
+				}
+			}
+		}
+	}
+}
+
 // A dial that hangs is given up, and another one comes soon.
 func TestDialThatHangsIsGivenUp(t *testing.T) {
-	s := newScript(t)
+	s := newScript(t, pace.Config{})
 	<-s.dials // and it hangs
 	began := s.at.Now()
 	s.step(500)
@@ -165,7 +236,7 @@
 // connection was reset. The next call comes within 200 ms, so that the watch
 // goes on.
 func TestEndOfConnectionEndsAListAndAResetDoesNot(t *testing.T) {
-	s := newScript(t)
+	s := newScript(t, pace.Config{})
 	s.connect()
 	s.asked(whole)
 	s.write("\r\n%s", `{"index":42,"snapshot":true,"endpoints":[]}`)
--- a/internal/postgres/front/commands_test.go
+++ b/internal/postgres/front/commands_test.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"lotusbend/internal/netio"
+	"lotusbend/internal/postgres/pipeline"
 	"lotusbend/internal/postgres/wire"
 	"lotusbend/internal/router"
 )
@@ -87,6 +88,11 @@
 			t.Errorf("it is handed over with %v ms left", d.taken[1].wait)
 		}
 		d.server.Answer(d.taken[1].ref, router.Answer{Verdict: router.Refused})
+		d.only().queue.Each(func(c *pipeline.Command[*statement]) {
+			if !c.Running() && len(c.Value.request.Statement.Text) > 0 {
+				t.Error("its text is kept")
+			}
+		})
 		if held := d.held(); held > 4<<10 {
 			t.Errorf("%d bytes are held", held)
 		}
@@ -95,6 +101,41 @@
 	u.want(u.hear("Z")+u.hear("Z"), "value0", "53300")
 }
 
+// Statements of many connections run side by side only as far as memory for
+// their answers is left; the oldest of each connection always runs.
+func TestStatementsRunSideBySideAsFarAsMemoryGoes(t *testing.T) {
+	const clients = 4
+	d := newDesk(t, 100)
+	for n := range clients {
+		u := d.connect()
+		var b []byte
+		for i := range pipeline.Window {
+			b = append(b, read(1000*n+i)...)
+		}
+		u.write(b)
+	}
+	d.until(func() bool {
+		read := 0
+		for n := range clients {
+			if c := d.server.clients.At(uint32(n)); c != nil {
+				read += c.queue.Commands()
+			}
+		}
+		return read == clients*pipeline.Window
+	})
+	d.loop.Do(func() {
+		most := clients + testMemoryMB*(1<<20)/5/answerReserve
+		if n := len(d.taken); n < clients || n > most {
+			t.Errorf("%d statements run, want %d at most", n, most)
+		}
+		for n := range clients {
+			if d.server.clients.At(uint32(n)).queue.FirstRunning() == nil {
+				t.Errorf("client %d waits", n)
+			}
+		}
+	})
+}
+
 // What breaks the protocol, or says goodbye, behind a statement under way takes
 // nothing from that one's answer.
 func TestWhatComesBehindAStatementDoesNotTakeItsAnswer(t *testing.T) {
