--- a/internal/fleetstate/judge.go
+++ b/internal/fleetstate/judge.go
@@ -99,7 +99,7 @@
 }
 
 const (
-	maxWitnesses = 64          // claims kept on one host; the others would add nothing
+	maxWitnesses = 4096        // claims kept on one host: one of each router of a large fleet
 	wrongCosts   = 0.5         // of a peer's standing, for a claim that proved wrong
 	rightEarns   = 0.1         // back, for one that proved right
 	heals        = 1.0 / 60000 // and back with each millisecond: a minute for all of it
@@ -244,28 +244,60 @@
 			valid = append(valid, w)
 		}
 	}
-	for _, began := range valid {
-		if began.kind == Well {
-			continue
+	for _, c := range j.since(valid) {
+		if count == 0 || c.support > most {
+			most, count, kind, newest = c.support, c.count, c.kind, c.newest
 		}
-		sum, n, k, at := 0.0, 0, ClaimKind(0), int64(0)
-		for _, w := range valid {
-			switch {
-			case w.kind == Well && w.at > began.from:
-				sum -= j.trust(w.peer)
-			case w.kind != Well && w.from >= began.from:
-				sum += j.trust(w.peer)
-				n++
-				if w.at > at {
-					k, at = w.kind, w.at
-				}
+	}
+	return most, count, kind, newest
+}
+
+// beginning is what is to be said for one moment at which a doubt began.
+type beginning struct {
+	support float64
+	count   int // of those who doubt the host since then
+	kind    ClaimKind
+	newest  int64 // of their evidence
+}
+
+// since weighs the moments at which valid doubts began, in the order of the
+// witnesses. It goes through the moments from the latest to the earliest, as
+// each has the doubters of every later one: with thousands of routers there may
+// be as many witnesses.
+func (j *Judge) since(valid []*witness) []beginning {
+	var doubters, well []int // indexes, the latest first
+	for i, w := range valid {
+		if w.kind == Well {
+			well = append(well, i)
+		} else {
+			doubters = append(doubters, i)
+		}
+	}
+	slices.SortStableFunc(doubters, func(a, b int) int { return cmp.Compare(valid[b].from, valid[a].from) })
+	slices.SortStableFunc(well, func(a, b int) int { return cmp.Compare(valid[b].at, valid[a].at) })
+	at := make([]beginning, len(valid))
+	var so beginning
+	latest := -1 // index of the doubter with the newest evidence so far
+	for n := 0; n < len(doubters); {
+		from, first := valid[doubters[n]].from, n
+		for ; n < len(doubters) && valid[doubters[n]].from == from; n++ {
+			i := doubters[n]
+			w := valid[i]
+			so.support += j.trust(w.peer)
+			so.count++
+			if w.at > so.newest || w.at == so.newest && i < latest {
+				so.kind, so.newest, latest = w.kind, w.at, i
 			}
 		}
-		if count == 0 || sum > most {
-			most, count, kind, newest = sum, n, k, at
+		for len(well) > 0 && valid[well[0]].at > from {
+			so.support -= j.trust(valid[well[0]].peer)
+			well = well[1:]
+		}
+		for _, i := range doubters[first:n] {
+			at[i] = so
 		}
 	}
-	return most, count, kind, newest
+	return slices.DeleteFunc(at, func(b beginning) bool { return b.count == 0 })
 }
 
 // Judgement passes over a host for a while.
--- a/internal/fleetstate/lease.go
+++ b/internal/fleetstate/lease.go
@@ -53,9 +53,9 @@
 	ForMs  int64
 }
 
-// maxLoans bounds the loans of one budget on each side: a peer that asks
-// without end gets nothing more.
-const maxLoans = 256
+// maxLoans bounds the loans of one budget on each side, one for each router of
+// a large fleet: a peer that asks without end gets nothing more.
+const maxLoans = 4096
 
 // newLeases begins at now. Until a lease and its skew have passed, an earlier
 // instance under this name may have lent the lendable part of the stake: it
--- /dev/null
+++ b/internal/settings/cold_test.go
@@ -0,0 +1,179 @@
+package settings
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lotusbend/decide"
+)
+
+// fleet is many routers in one process that share nothing but the hosts, on a
+// clock of events.
+type fleet struct {
+	now     time.Duration
+	events  events
+	serial  uint64
+	routers []*instance
+	cold    uint32          // the host that restarts
+	sends   []time.Duration // to it, since it has
+}
+
+// instance is one router; it implements decide.Actions.
+type instance struct {
+	fleet    *fleet
+	module   *decide.Router
+	attempts map[uint64]int
+}
+
+type event struct {
+	at     time.Duration
+	serial uint64
+	do     func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].serial < e[j].serial
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.serial++
+	heap.Push(&f.events, event{f.now + d, f.serial, do})
+}
+
+func (f *fleet) run(until time.Duration) {
+	for len(f.events) > 0 && f.events[0].at <= until {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = until
+}
+
+const (
+	work     = 75 * time.Millisecond
+	warmRate = 40.0 // requests a second that a warm host can do: three cores
+	hosts    = 4    // one of them the primary
+)
+
+func (i *instance) Send(request uint64, member uint32, _ time.Duration) {
+	f, n := i.fleet, i.attempts[request]
+	i.attempts[request]++
+	if member == f.cold {
+		f.sends = append(f.sends, f.now)
+	}
+	f.after(work, func() {
+		role := decide.RoleReplica
+		if member == 1 {
+			role = decide.RolePrimary
+		}
+		i.module.Ended(f.now, decide.Result{
+			Request: request, Attempt: n, Member: member, Outcome: decide.OK, Latency: work, Over: true,
+			Note: decide.Note{Role: role, Position: f.now - 10*time.Millisecond},
+		})
+		delete(i.attempts, request)
+	})
+}
+func (i *instance) Cancel(uint64, int)                     {}
+func (i *instance) Refuse(request uint64, _ time.Duration) { delete(i.attempts, request) }
+func (i *instance) Fail(request uint64)                    { delete(i.attempts, request) }
+func (i *instance) Probe(uint32)                           {}
+func (i *instance) CloseIdle(uint32)                       {}
+func (i *instance) Watch()                                 {}
+func (i *instance) SetTimer(after time.Duration, tok uint32) {
+	i.fleet.after(after, func() { i.module.Timer(i.fleet.now, tok) })
+}
+
+// coldSettings is a configuration's settings for so many routers.
+func coldSettings(routers int, factor float64, check string) []byte {
+	return fmt.Appendf(nil, `{"Classes": [{"AimMs": 500, "GiveUpMs": 1200, "Group": "all", "Importance": 2, "LateWorth": 0, "Name": "view", "Semantics": "pure"}],
+	"Discovery": "push", "FamilyInfo": {"ClassRead": ["bounded"], "OldestDataMs": [800], "Stamps": true, "Tokens": "carried", "WhenBehind": %q},
+	"Feedback": {"Fields": ["x0", "x1"], "Via": "on_probe"}, "FleetSize": %d, "Limits": {"MaxAttempts": 6},
+	"Rules": {"ColdMs": 18000, "OverloadFactor": %v, "OverloadForMs": 1000, "StartCapacity": 0.21}, "Zones": ["a"]}`, check, routers, factor)
+}
+
+// A host that comes back cold is not pushed over by twenty or thirty routers
+// that each know only themselves: in no second do they send it more than the
+// settings allow, but for chance, N + 2 roots of N + 2.
+func TestColdHostIsNotPushedOverByManyRouters(t *testing.T) {
+	for _, routers := range []int{20, 30} {
+		for _, factor := range []float64{2, 4} {
+			for _, seed := range []uint64{1, 2, 3} {
+				over, sent := playCold(t, routers, factor, seed)
+				if over > 0 || sent == 0 {
+					t.Errorf("%d routers, factor %v, seed %d: %d sent, %.1f more than the rule allows in the worst second",
+						routers, factor, seed, sent, over)
+				}
+			}
+		}
+	}
+}
+
+// playCold returns by how much the worst second went over the rule, and how
+// many requests the cold host was sent.
+func playCold(t *testing.T, routers int, factor float64, seed uint64) (over float64, sent int) {
+	t.Helper()
+	s, err := Parse(coldSettings(routers, factor, "refuse"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{}
+	rng := rand.New(rand.NewPCG(seed, 9))
+	list := func(started time.Duration) (members []decide.Member) {
+		for id := range uint32(hosts) {
+			members = append(members, decide.Member{ID: id + 1, State: decide.Ready, Primary: id == 0})
+		}
+		members[1].Started = started
+		return members
+	}
+	request := uint64(0)
+	for n := range routers {
+		i := &instance{fleet: f, attempts: map[uint64]int{}}
+		if i.module, err = decide.New(s.Config, seed<<16+uint64(n), i); err != nil {
+			t.Fatal(err)
+		}
+		f.routers = append(f.routers, i)
+		i.module.Start(0)
+		i.module.Listed(0, decide.ListFull, list(0))
+		mean := float64(routers) / (0.9 * warmRate * (hosts - 1)) // seconds between one router's requests
+		var arrive func()
+		arrive = func() {
+			request++
+			i.module.Arrived(f.now, decide.Request{ID: request, TimeLeft: 1200 * time.Millisecond})
+			f.after(time.Duration(rng.ExpFloat64()*mean*float64(time.Second)), arrive)
+		}
+		f.after(time.Duration(rng.Float64()*mean*float64(time.Second)), arrive)
+	}
+	const restart = 20 * time.Second
+	f.run(restart)
+	f.cold = 2
+	for _, i := range f.routers {
+		i.module.Listed(f.now, decide.ListDelta, list(restart)[1:2])
+	}
+	f.run(restart + s.Config.ColdFor)
+	for n, from := range f.sends {
+		count := 0
+		for _, at := range f.sends[n:] {
+			if at < from+s.Config.OverloadFor {
+				count++
+			}
+		}
+		warmth := s.Config.StartCapacity + (1-s.Config.StartCapacity)*(from-restart).Seconds()/s.Config.ColdFor.Seconds()
+		allowed := factor * warmth * warmRate * s.Config.OverloadFor.Seconds()
+		over = max(over, float64(count)-(allowed+2*math.Sqrt(allowed)+2))
+	}
+	return over, len(f.sends)
+}
