Listen to answers of reads that were given up: what they say of a host's role counts

Need: what an answer tells counts as known 100 ms after it was written. Reading each place where a role, position or commit is learnt: `Pool.abandon` (back.go) closed the connection of an attempt that was given up, so that an answer on its way, or unread in a buffer, was lost, and a primary that had said that it is one no longer was still sent fresh reads.

Change: a read is given up by the end of the connection's sending, as the protocol allows, and its answer is listened to for 100 ms; the module hears of the host alone. A write's connection is closed as before: its commit would count as heard, and the session's next read may be on its way already. Where sockets are short such a connection goes first.

--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -149,6 +149,19 @@
 	}
 }
 
+// Abandon ends this side's sending at once, with what is unsent, and goes on
+// reading: the peer's system hears so before this returns, as with Close.
+func (c *Conn) Abandon() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.closing {
+		return
+	}
+	c.closing = true
+	c.out = nil
+	c.endSending()
+}
+
 // Close ends the connection now, with what is unsent. The peer's system hears
 // so before this returns: what is sent next on another connection must not
 // overtake it, or an attempt that was given up would have a second copy.
--- a/internal/postgres/back/back.go
+++ b/internal/postgres/back/back.go
@@ -29,6 +29,8 @@
 	// written now: its right to be sent may have ended meanwhile.
 	MayLeave(router.Attempt) bool
 	Ended(router.Attempt, router.Report)
+	// Overheard brings what a host answered to an attempt that was given up.
+	Overheard(host uint32, rep router.Report)
 	Probed(host uint32, rep router.Report)
 }
 
@@ -47,6 +49,11 @@
 	// settleFor is how long, in milliseconds, a connection rests after an
 	// answer: a host that sends more than the answer sends it right behind.
 	settleFor = 2
+	// overhearFor is how long, in milliseconds, a connection on which a read was
+	// given up is still listened to. What an answer tells of its host's role
+	// counts as known 100 ms after it was written, read or not, and it may have
+	// been on its way just then.
+	overhearFor = 100
 )
 
 // Pool is the connections to all database hosts. Its methods are called
@@ -91,6 +98,7 @@
 	settling              // after an answer
 	idle
 	busy
+	abandoned // its attempt was given up; an answer may still come
 	closed
 )
 
@@ -101,7 +109,7 @@
 	address string
 	link    *netio.Conn // nil while dialling
 	phase   phase
-	job     *job
+	job     *job // under way, or given up
 	idleAt  float64
 	end     *clock.Deadline // of opening, settling or idling
 	purges  int             // of the host when the connection began to settle
@@ -194,12 +202,22 @@
 	return begun
 }
 
-// abandon takes j off whatever it is at.
+// abandon takes j off whatever it is at. A host is told at once, by the end of
+// the connection's sending; a late answer to a read is listened to. A write's
+// is not: its commit would count as heard, and the session's next read may be
+// on its way already.
 func (p *Pool) abandon(j *job) {
 	if j.conn != nil {
 		c := j.conn
-		c.job, j.conn = nil, nil
-		p.close(c)
+		j.conn = nil
+		if j.probe || j.stmt.Write || j.writing || c.phase != busy {
+			c.job = nil
+			p.close(c)
+			return
+		}
+		c.phase = abandoned
+		c.link.Abandon()
+		c.end = p.loop.At(p.loop.Now()+overhearFor, func() { p.close(c) })
 	} else if h := j.host; h != nil {
 		h.waiting = slices.DeleteFunc(h.waiting, func(w *job) bool { return w == j })
 	}
@@ -243,7 +261,7 @@
 // open dials one more connection to h, if the process may hold one.
 func (p *Pool) open(h *host) {
 	if !p.budget.TakeHost() {
-		if !p.closeOldestIdle() || !p.budget.TakeHost() {
+		if !p.closeAbandoned() && !p.closeOldestIdle() || !p.budget.TakeHost() {
 			j := h.waiting[len(h.waiting)-1]
 			p.loop.Post(func() { p.fail(j, decide.ConnectFailed) })
 			return
@@ -257,6 +275,21 @@
 	go c.dial(timeout)
 }
 
+// closeAbandoned frees the socket of a connection whose attempt was given up.
+func (p *Pool) closeAbandoned() bool {
+	var found *conn
+	p.conns.Each(func(_ slots.Ref, c *conn) {
+		if c.phase == abandoned {
+			found = c
+		}
+	})
+	if found == nil {
+		return false
+	}
+	p.close(found)
+	return true
+}
+
 // closeOldestIdle frees the socket that has been idle longest.
 func (p *Pool) closeOldestIdle() bool {
 	var oldest *conn
@@ -384,6 +417,8 @@
 	switch j := c.job; {
 	case c.phase == opening:
 		p.openFailed(c, c.reader.startupOutcome())
+	case c.phase == abandoned:
+		p.overhear(c)
 	case c.phase == busy && j != nil:
 		p.close(c)
 		// The read buffer dies after this callback, so what it holds counts now.
@@ -399,6 +434,16 @@
 	}
 }
 
+// overhear takes what has come of the answer to an attempt that was given up.
+func (p *Pool) overhear(c *conn) {
+	rep, whole := c.reader.report(c.job)
+	host := c.host.id
+	p.close(c)
+	if whole {
+		p.events.Overheard(host, rep)
+	}
+}
+
 // close ends c; a job that is at it is left to the caller.
 func (p *Pool) close(c *conn) {
 	switch c.phase {
@@ -420,7 +465,7 @@
 
 // beginAnswer tells whether an answer may come on c.
 func (p *Pool) beginAnswer(c *conn) error {
-	if c.phase == opening || c.phase == busy {
+	if c.phase == opening || c.phase == busy || c.phase == abandoned {
 		return nil
 	}
 	return errExcess
@@ -433,6 +478,9 @@
 	case c.phase == opening && c.reader.stage == begun:
 		p.ready(c)
 		return nil
+	case c.phase == abandoned:
+		p.overhear(c)
+		return nil
 	case c.phase != busy || c.job == nil:
 		return errExcess
 	}
@@ -458,8 +506,9 @@
 	}
 	j := c.job
 	c.job = nil
+	given := c.phase == abandoned
 	p.close(c)
-	if j != nil {
+	if j != nil && !given {
 		j.conn = nil
 		p.report(j, router.Report{Outcome: decide.Spoilt})
 	}
--- a/internal/postgres/back/back_test.go
+++ b/internal/postgres/back/back_test.go
@@ -30,6 +30,7 @@
 
 func (deaf) MayLeave(router.Attempt) bool        { return true }
 func (deaf) Ended(router.Attempt, router.Report) {}
+func (deaf) Overheard(uint32, router.Report)     {}
 func (deaf) Probed(uint32, router.Report)        {}
 
 // A statement is not written where the host has spoken unasked or hung up: it
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -229,6 +229,15 @@
 	r.release(a.Request, q)
 }
 
+// Overheard takes what a host answered to an attempt that was given up: it is
+// news of the host alone.
+func (r *Router) Overheard(host uint32, rep Report) {
+	r.module.Ended(r.now(), decide.Result{Attempt: unknownAttempt, Member: host, Outcome: rep.Outcome, Note: rep.Note})
+}
+
+// unknownAttempt is the number of an attempt that the module no longer knows.
+const unknownAttempt = -1
+
 // MayLeave tells whether an attempt that waited for its connection may still be
 // written. What is reported instead goes back to the module.
 func (r *Router) MayLeave(a Attempt) bool {
