Send a session's reads to the primary while a write of it is out, where hosts do not check

What an answer tells counts as known 100 ms after it was written.

Ruled out: positions (the replica's was right), roles, answers of other routers (one router alone saw the session), drops of sessions (16,384 are kept).

Change: a session keeps how many of its writes are out; while any is, its reads need all up to now, which only the primary has. What a read needs is asked for when it is sent, not when it came. Where hosts check or tokens are carried nothing changes.

Tests: a read goes to the primary while a write is out, and to a replica once it surely never ran; each fails without its guard.

--- a/decide/ask_test.go
+++ b/decide/ask_test.go
@@ -48,7 +48,7 @@
 		g.r.members[3].State = Draining // one replica is left
 		g.probes = nil
 		if c.none {
-			g.r.remember(g.r.members[1].g, 9, g.now-100*ms)
+			g.committed(g.r.members[1].g, 9, g.now-100*ms)
 		}
 		id := g.arrive(bounded)
 		for range 15 {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -97,10 +98,16 @@
 	members            []*member
 	primary, announced *member // primary as believed, nil while sought
 	held               []*request
-	scoutAt            time.Duration
-	soughtAt           time.Duration            // when its primary was last known, or is looked for
-	tokens             map[uint64]time.Duration // sessions' commits
-	floor, latest      time.Duration            // the latest commit among those forgotten; of all
+	scoutAt, soughtAt  time.Duration            // when its primary was last looked for; when last needed
+	sessions           map[uint64]sessionWrites // with writes
+	floor              time.Duration            // no commit that was forgotten is later
+}
+
+// sessionWrites is what a session's reads must see: its last commit told, and what writes still out commit:
+// an answer counts as known a while after it was sent, though it may be lost on the way.
+type sessionWrites struct {
+	commit time.Duration
+	out    int
 }
 
 type attempt struct {
@@ -223,9 +230,7 @@
 	q.expires = now + max(in.TimeLeft, 0)
 	q.heldUntil = now + time.Duration(holdShare*float64(max(in.TimeLeft, 0))) - holdMargin
 	q.aimAt = min(now+q.class.Aim-r.spent(q), q.expires)
-	if !r.cfg.Carried {
-		q.token = max(g.floor, g.tokens[in.Session])
-	} else if in.SinceWrite > 0 {
+	if r.cfg.Carried && in.SinceWrite > 0 {
 		q.token = now - in.SinceWrite + time.Millisecond // the age is rounded
 	}
 	r.requests[in.ID] = q
@@ -241,9 +246,8 @@
 }
 
 // spent is how much of its client's wait q's earlier tries surely used. First tries get the usual time; one
-// that gets another is a repeat, given what is left of its deadline, be that less or more, and its aim counts
-// from the first: in a retry storm late ones go first. Uneven first tries look the same, so those given up
-// bound it, twice over.
+// that gets another is a repeat with what is left, and its aim counts from the first: in a retry storm late
+// ones go first. Uneven first tries look the same, so those given up bound it, twice over.
 func (r *Router) spent(q *request) time.Duration {
 	votes := &r.votes[q.Class]
 	if (q.TimeLeft - r.usual[q.Class]).Abs() < clientJitter {
@@ -415,12 +419,6 @@
 			(q.class.Consistency > Fresh && r.fresh(q, m, now)))
 }
 
-// mayRefuse is its counterpart for a refusal, which invites a repeat.
-func (q *request) mayRefuse() bool {
-	return q.class.Repeat == Pure || (!q.mayHaveRun && q.out == 0) ||
-		(q.class.Repeat == Keyed && q.class.Scope == ScopeAll)
-}
-
 func (r *Router) send(q *request, m *member, now time.Duration) {
 	if q.out == 0 && !q.mayHaveRun {
 		q.ranSince, q.ranZone = now, m.Zone
@@ -433,6 +431,7 @@
 	q.out++
 	q.held = false
 	q.attempts = append(q.attempts, attempt{m: m, sent: now})
+	r.remember(q, 1, 0)
 	if m.cold {
 		m.allowance--
 	}
@@ -480,11 +479,11 @@
 	return now+need > q.expires || (q.class.LateWorth == 0 && now+need > q.aimAt)
 }
 
-// giveUp answers q at once: refused where that is true, failed otherwise. What is refused has its aim out of
-// reach or a group without a primary, so a repeat helps only when queues have turned over: the advice is the
-// longest that clients follow.
+// giveUp answers q at once: refused where that is true, failed otherwise. A repeat helps only once queues have
+// turned over or a primary was found: the advice is the longest that clients follow.
 func (r *Router) giveUp(q *request) {
-	if q.mayRefuse() {
+	everywhere := q.class.Repeat == Keyed && q.class.Scope == ScopeAll // a repeat is dropped
+	if q.class.Repeat == Pure || everywhere || (!q.mayHaveRun && q.out == 0) {
 		r.act.Refuse(q.ID, r.cfg.MaxRetryWait)
 	} else {
 		r.act.Fail(q.ID)
@@ -501,6 +500,7 @@
 // ended takes an attempt off its member and request.
 func (r *Router) ended(q *request, a *attempt, now time.Duration) {
 	a.ended = max(now, 1)
+	r.remember(q, -1, 0)
 	q.out--
 	a.m.out--
 	if a.sent >= a.m.heardAt && a.m.since > 0 {
@@ -541,20 +541,16 @@
 	}
 }
 
-// stuck tells whether an attempt will hardly be answered: it is long overdue, and its member has answered
-// what was sent a latency after it. A queue alone is not overtaken, so crowding looks otherwise.
-func (r *Router) stuck(a *attempt, now time.Duration) bool {
-	due := max(a.m.latency, r.latency)
-	return float64(now-a.sent) > overdueAfter*float64(due) && a.m.answered > a.sent+due
-}
-
 // replace calls off the only attempt of q, if it is stuck, and sends another: to a member that q may go to,
-// or to the same one where only that will do. It answers lost answers and connections that fell silent; the
-// retry budget bounds what it costs where the attempt was only slow.
+// or to the same one where only that will do. Stuck is what is long overdue, while its member has answered
+// what was sent a latency later: a queue alone is not overtaken. It answers lost answers and connections that
+// fell silent; the retry budget bounds what it costs where the attempt was only slow.
 func (r *Router) replace(q *request, now time.Duration) {
 	i := slices.IndexFunc(q.attempts, func(a attempt) bool { return a.ended == 0 })
 	a := &q.attempts[i]
-	if !r.cfg.Cancels || r.budget < 1 || !r.stuck(a, now) || r.hopeless(q, now) {
+	due := max(a.m.latency, r.latency)
+	stuck := float64(now-a.sent) > overdueAfter*float64(due) && a.m.answered > a.sent+due
+	if !r.cfg.Cancels || r.budget < 1 || !stuck || r.hopeless(q, now) {
 		return
 	}
 	m := r.pick(q, now)
@@ -590,8 +586,8 @@
 			commit = res.Note.Position
 		}
 	}
-	if write && !r.cfg.Carried && q.Session != 0 && !o.RanNot() { // its answer may have been lost on the way
-		r.remember(m.g, q.Session, commit)
+	if write && !o.RanNot() { // its answer may have been lost on the way
+		r.remember(q, 0, commit)
 	}
 	switch {
 	case a == nil, o == Moot, o == Cancelled, o == Rejected: // no fault of the member's
@@ -657,10 +653,8 @@
 }
 
 // adapt moves a member's concurrency limit by how much of its aim an answer used (additive increase,
-// multiplicative decrease, once for what was sent before it). It answers queues, whatever fills them.
-// Answers of primaries past the tightest aim of what only they serve also thin out the reads that may fall to
-// them, from replicas out of the gate above all: one attempt from each of many routers is no limit, and the
-// others likely suffer, too. It could hurt where one alone is slow.
+// multiplicative decrease, once for what was sent before it). Answers of primaries past the tightest aim of
+// what only they serve also thin out the reads that may fall to them: many routers' limits add up.
 func (r *Router) adapt(m *member, a *attempt, used float64, now time.Duration) {
 	if m == m.g.primary && now-a.sent >= r.primaryAim {
 		r.spill *= spillCut
@@ -681,15 +675,20 @@
 	m.open, m.trialAt = true, now+m.trialWait
 }
 
-// remember keeps a session's commit. When there are too many, all are forgotten and the group's floor rises
-// to the latest: forgetting may tighten the gate, never loosen it.
-func (r *Router) remember(g *group, session uint64, commit time.Duration) {
-	if len(g.tokens) >= sessionsKept {
-		clear(g.tokens)
-		g.floor = g.latest
+// remember keeps a write's commit for its session, and how many are out. Too many sessions are forgotten,
+// but those with any out, and the floor rises to the latest: that may tighten the gate, never loosen it.
+func (r *Router) remember(q *request, out int, commit time.Duration) {
+	if q.class.Consistency != Write || r.cfg.Carried || q.Session == 0 {
+		return
+	}
+	g, s := q.g, q.g.sessions[q.Session]
+	g.sessions[q.Session] = sessionWrites{max(s.commit, commit), s.out + out}
+	if len(g.sessions) > sessionsKept {
+		maps.DeleteFunc(g.sessions, func(_ uint64, s sessionWrites) bool {
+			g.floor = max(g.floor, s.commit)
+			return s.out == 0
+		})
 	}
-	g.tokens[session] = max(g.tokens[session], commit)
-	g.latest = max(g.latest, commit)
 }
 
 // Ordinary path.
@@ -786,13 +785,16 @@
 
 // need is the position that a replica must have for q, 0 if any will do.
 func (r *Router) need(q *request, now time.Duration) time.Duration {
-	switch q.class.Consistency {
-	case Bounded:
+	s := q.g.sessions[q.Session]
+	switch {
+	case q.class.Consistency == Bounded:
 		return now - q.class.Bound
-	case Session:
-		return q.token
+	case q.class.Consistency != Session:
+		return 0
+	case s.out > 0:
+		return now
 	}
-	return 0
+	return max(q.token, q.g.floor, s.commit)
 }
 
 // fresh is the gate of the replicas. Where they serve unchecked only a proven position counts; where they
@@ -832,9 +834,8 @@
 }
 
 // scout sends one held write to look for the primary: a miss is cheap and tells the role. Whoever was
-// announced last goes first, then who is longest unasked. It answers every change of primary. It could hurt
-// only by the tries it uses, paced and kept from a request's last ones. Where no write came for a while and
-// replicas check, a fresh read looks: else a group only read at the primary would never find it.
+// announced last goes first, then who is longest unasked; paced, and not with a request's last tries. Where
+// no write came for a while and replicas check, a fresh read looks: none else might ever find it.
 func (r *Router) scout(g *group, now time.Duration) {
 	if !r.seeking(g) {
 		g.soughtAt = now
@@ -864,10 +865,9 @@
 
 // Admission and queueing.
 
-// hasRoom tells whether m may hold one more attempt, using at most share of its limit. A cold member has
-// an allowance too: coldShare of the rule's multiple of its present fraction of the most that members were
-// seen to bear on average, but at least one request at a time: a router that has just started saw little.
-// Summed over the routers that stays under the limit, also at first, as each starts with a random part.
+// hasRoom tells whether m may hold one more attempt, using at most share of its limit. A cold member has an
+// allowance too: coldShare of the rule's multiple of its present fraction of the most that members were seen
+// to bear on average, one request at a time at least. All routers' sum is under the rule, from random starts.
 func (r *Router) hasRoom(m *member, share float64, now time.Duration) bool {
 	w := r.warmth(m, now)
 	if m.cold {
@@ -926,7 +926,7 @@
 func (r *Router) group(id int) *group {
 	g := r.groups[id]
 	if g == nil {
-		g = &group{tokens: map[uint64]time.Duration{}}
+		g = &group{sessions: map[uint64]sessionWrites{}}
 		r.groups[id] = g
 		r.gorder = append(r.gorder, g)
 	}
@@ -972,8 +972,7 @@
 func (r *Router) probesFirst() bool { return r.cfg.Check == Unchecked || !r.cfg.Positions }
 
 // ask has a replica probed for a read: about once per bound where answers tell no positions, and where only a
-// proven one counts when it has aged: many routers hear seldom from each replica, and their reads would fall
-// to the primaries together. It tells whether the read may wait for that.
+// proven one counts once it has aged: else many routers' reads go to the primary. It tells whether to wait.
 func (r *Router) ask(m *member, fresh bool, now time.Duration) bool {
 	age := now - max(m.lagAt, m.probedAt)
 	m.awaitsProbe = m.awaitsProbe || r.cfg.Probes && r.cfg.ReportsRole && !m.open &&
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -209,18 +209,42 @@
 	}
 }
 
+// committed has a write of a session told, without its attempt.
+func (g *rig) committed(grp *group, of uint64, commit time.Duration) {
+	g.r.remember(&request{Request: Request{Session: of}, class: &g.r.cfg.Classes[write], g: grp}, 0, commit)
+}
+
+// What an answer tells counts as known a while after the host has sent it, even
+// if it is lost on the way: as long as a write is out, its session's reads may
+// need its commit. A read that waits sees commits that are told meanwhile.
+func TestSessionReadGoesToThePrimaryWhileItsWriteIsOut(t *testing.T) {
+	cfg := testConfig()
+	cfg.Check = Unchecked
+	g := newRig(t, cfg, trio())
+	g.teach(2)
+	w := g.last(g.arrive(write)) // its answer never comes
+	g.wait(200 * ms)
+	if s := g.last(g.arrive(session)); s.member != 1 {
+		t.Errorf("a session's read went to %d while a write of it is out", s.member)
+	}
+	g.end(w, Full, RolePrimary, 0) // it surely never ran
+	if s := g.last(g.arrive(session)); s.member != 2 {
+		t.Errorf("a session's read went to %d after its write did not run", s.member)
+	}
+}
+
 func TestForgettingSessionsNeverLoosensTheGate(t *testing.T) {
 	g := newRig(t, testConfig(), trio())
 	grp := g.r.groups[0]
 	commit := g.now
-	g.r.remember(grp, 9, commit)
+	g.committed(grp, 9, commit)
 	for i := range uint64(3 * sessionsKept) {
-		g.r.remember(grp, 1000+i, commit-ms)
+		g.committed(grp, 1000+i, commit-ms)
 	}
 	if s := g.last(g.arrive(session)); s.member != 1 {
 		t.Errorf("read of a forgotten session sent to unproven member %d", s.member)
 	}
-	if n := len(grp.tokens); n > sessionsKept {
+	if n := len(grp.sessions); n > sessionsKept {
 		t.Errorf("%d sessions kept", n)
 	}
 }
