--- a/decide/decide.go
+++ b/decide/decide.go
@@ -479,8 +479,8 @@
 	return now+need > q.expires || (q.class.LateWorth == 0 && now+need > q.aimAt)
 }
 
-// giveUp answers q at once: refused where that is true, failed otherwise. A repeat helps only once queues have
-// turned over or a primary was found: the advice is the longest that clients follow.
+// giveUp answers q at once: refused where that is true, failed otherwise. A repeat helps only once queues
+// have turned over or a primary was found: the advice is the longest that clients follow.
 func (r *Router) giveUp(q *request) {
 	everywhere := q.class.Repeat == Keyed && q.class.Scope == ScopeAll // a repeat is dropped
 	if q.class.Repeat == Pure || everywhere || (!q.mayHaveRun && q.out == 0) {
