--- a/cmd/lotusbend/descriptors_test.go
+++ b/cmd/lotusbend/start_test.go
@@ -4,32 +4,31 @@
 	"bufio"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"lotusbend/internal/postgres/wire"
 )
 
-// Idle clients may fill the descriptors while discovery is down: its watch and
-// connections to hosts still get theirs, and a client that comes then is
-// served. The system's limit is that of the settings.
-func TestIdleClientsLeaveDescriptorsToDiscoveryAndHosts(t *testing.T) {
-	const descriptors, idle = 100, 300
-	discovery, host, own := listen(t), listen(t), listen(t)
-	address := own.Addr().String()
+// startProgram runs the program by a line of the shell, with a configuration
+// file of that text, until the test ends. It returns where clients connect,
+// once it serves.
+func startProgram(t *testing.T, line string, configuration []byte) (address string) {
+	t.Helper()
+	own := listen(t)
+	address = own.Addr().String()
 	_ = own.Close() // the program's
-	_ = discovery.Close()
 	path := filepath.Join(t.TempDir(), "config")
-	text := strings.Replace(string(configuration(discovery, descriptors)), "127.0.0.1:0", address, 1)
+	text := strings.Replace(string(configuration), "127.0.0.1:0", address, 1)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	program := exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0"`, descriptors), os.Args[0])
+	program := exec.Command("/bin/sh", "-c", line, os.Args[0])
 	program.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+path)
 	log, err := program.StderrPipe()
 	if err != nil {
@@ -38,7 +37,7 @@
 	if err := program.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = program.Process.Signal(syscall.SIGTERM); _ = program.Wait() })
+	t.Cleanup(func() { _ = program.Process.Kill(); _ = program.Wait() })
 	lines := bufio.NewScanner(log)
 	for lines.Scan() && !strings.Contains(lines.Text(), "msg=serving") {
 	}
@@ -46,6 +45,39 @@
 		for lines.Scan() {
 		}
 	}()
+	return address
+}
+
+// A router that starts while discovery is silent is ready at once and serves by
+// the list that it was given: nothing is turned away for want of a new one.
+func TestStartServesWhileDiscoveryIsSilent(t *testing.T) {
+	discovery, host := listen(t), listen(t) // a call to the first is never answered
+	began := time.Now()
+	address := startProgram(t, `exec "$0"`, configuration(discovery, 100, endpoint("p", host, "off", "ready")))
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newPeer(t, c)
+	p.write(wire.AppendQuery(wire.AppendStartup(nil, "app", "shop"), nil))
+	p.want(p.answer(), "RKZ")
+	p.want(p.answer(), "IZ")
+	if took := time.Since(began); took > 5*time.Second { // 10 s are allowed
+		t.Errorf("ready after %v", took)
+	}
+	p.query(write)
+	accept(t, host).serve("value", "off")
+	p.want(p.answer(), "value")
+}
+
+// Idle clients may fill the descriptors while discovery is down: its watch and
+// connections to hosts still get theirs, and a client that comes then is
+// served. The system's limit is that of the settings.
+func TestIdleClientsLeaveDescriptorsToDiscoveryAndHosts(t *testing.T) {
+	const descriptors, idle = 100, 300
+	discovery, host := listen(t), listen(t)
+	_ = discovery.Close()
+	address := startProgram(t, fmt.Sprintf(`ulimit -n %d; exec "$0"`, descriptors), configuration(discovery, descriptors))
 	for range idle {
 		c, err := net.Dial("tcp", address)
 		if err != nil {
@@ -63,8 +95,11 @@
 	if err := back.(*net.TCPListener).SetDeadline(time.Now().Add(6 * time.Second)); err != nil {
 		t.Fatal(err)
 	}
-	agent(t, back).tell("/v1/endpoints", fmt.Sprintf(`{"index":2,"snapshot":true,"endpoints":[%s]}`, endpoint("p", host, "off", "ready")))
-	agent(t, back) // its next call: the list has been taken
+	told := agent(t, back)
+	told.tell("/v1/endpoints", fmt.Sprintf(`{"index":2,"snapshot":true,"endpoints":[%s]}`, endpoint("p", host, "off", "ready")))
+	if _, err := http.ReadRequest(told.in); err != nil { // its next call: the list has been taken
+		t.Fatal(err)
+	}
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
