--- a/internal/postgres/back/abandon_test.go
+++ b/internal/postgres/back/abandon_test.go
@@ -16,7 +16,7 @@
 
 // listener notes what hosts answer to attempts that were given up.
 type listener struct {
-	deaf
+	noEvents
 	heard chan router.Report
 }
 
--- a/internal/postgres/back/back_test.go
+++ b/internal/postgres/back/back_test.go
@@ -25,13 +25,13 @@
 func (l *link) Close() error                { return nil }
 func (l *link) Write(b []byte) (int, error) { return syscall.Write(l.fd, b) }
 
-// deaf hears of nothing.
-type deaf struct{}
+// noEvents hears of nothing.
+type noEvents struct{}
 
-func (deaf) MayLeave(router.Attempt) bool        { return true }
-func (deaf) Ended(router.Attempt, router.Report) {}
-func (deaf) Overheard(uint32, router.Report)     {}
-func (deaf) Probed(uint32, router.Report)        {}
+func (noEvents) MayLeave(router.Attempt) bool        { return true }
+func (noEvents) Ended(router.Attempt, router.Report) {}
+func (noEvents) Overheard(uint32, router.Report)     {}
+func (noEvents) Probed(uint32, router.Report)        {}
 
 // A statement is not written where the host has spoken unasked or hung up: it
 // would get another's answer, or be lost to a reset.
@@ -46,7 +46,7 @@
 			t.Fatal(err)
 		}
 		l := &link{fd: pair[0], in: netpoll.NewLinkBuffer()}
-		p := New(clock.NewLoop(clock.Manual(1000)), Options{}, netio.NewBudget(100), deaf{})
+		p := New(clock.NewLoop(clock.Manual(1000)), Options{}, netio.NewBudget(100), noEvents{})
 		p.SetHost(1, "127.0.0.1:1", true)
 		h := p.hosts[1]
 		c := &conn{pool: p, host: h, phase: idle, link: netio.NewConn(l)}
@@ -70,16 +70,16 @@
 	}
 }
 
-// clerk notes what becomes of attempts; some may not leave.
-type clerk struct {
-	deaf
+// recorder notes what becomes of attempts; some may not leave.
+type recorder struct {
+	noEvents
 	stays int // the number of the attempt that may not
 	ended []router.Attempt
 	as    []decide.Outcome
 }
 
-func (c *clerk) MayLeave(a router.Attempt) bool { return a.Number != c.stays }
-func (c *clerk) Ended(a router.Attempt, rep router.Report) {
+func (c *recorder) MayLeave(a router.Attempt) bool { return a.Number != c.stays }
+func (c *recorder) Ended(a router.Attempt, rep router.Report) {
 	c.ended, c.as = append(c.ended, a), append(c.as, rep.Outcome)
 }
 
@@ -90,7 +90,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	events := &clerk{stays: 1}
+	events := &recorder{stays: 1}
 	p := New(clock.NewLoop(clock.Manual(1000)), Options{}, netio.NewBudget(100), events)
 	p.SetHost(1, "127.0.0.1:1", true)
 	h := p.hosts[1]
--- a/internal/postgres/front/closing_test.go
+++ b/internal/postgres/front/closing_test.go
@@ -18,8 +18,8 @@
 	"lotusbend/internal/slots"
 )
 
-// desk takes every statement and answers when the test says.
-type desk struct {
+// stubRouter takes every statement and answers when the test says.
+type stubRouter struct {
 	t      *testing.T
 	clock  *clock.Clock
 	loop   *clock.Loop
@@ -36,18 +36,18 @@
 }
 
 // Class knows writes, w, and reads that any member may answer, x.
-func (d *desk) Class(name []byte) (router.Class, bool) {
+func (d *stubRouter) Class(name []byte) (router.Class, bool) {
 	return router.Class{Write: string(name) == "w"}, true
 }
-func (d *desk) Lapse(slots.Ref) { d.lapsed++ }
-func (d *desk) Submit(r router.Request, from router.Client, ref slots.Ref) slots.Ref {
+func (d *stubRouter) Lapse(slots.Ref) { d.lapsed++ }
+func (d *stubRouter) Submit(r router.Request, from router.Client, ref slots.Ref) slots.Ref {
 	d.taken = append(d.taken, taken{string(r.Statement.Text), from, ref, r.Wait})
 	return slots.Ref{Slot: uint32(len(d.taken)), Gen: 1}
 }
 
-func newDesk(t *testing.T, sockets int) *desk {
+func newStub(t *testing.T, sockets int) *stubRouter {
 	t.Helper()
-	d := &desk{t: t, clock: clock.Manual(1000)}
+	d := &stubRouter{t: t, clock: clock.Manual(1000)}
 	d.loop = clock.NewLoop(d.clock)
 	var err error
 	if d.server, err = Listen("127.0.0.1:0", d.loop, netio.NewBudget(sockets), testMemoryMB, d); err != nil {
@@ -58,23 +58,23 @@
 }
 
 // held returns how many bytes are booked for clients. It runs inside Do.
-func (d *desk) held() int { return d.server.queued.Used() + d.server.unread.Used() }
+func (d *stubRouter) held() int { return d.server.queued.Used() + d.server.unread.Used() }
 
-// testMemoryMB is the memory limit of a desk's router.
+// testMemoryMB is the memory limit of the tests' router.
 const testMemoryMB = 32
 
 // until waits for what the server's state must come to.
-func (d *desk) until(holds func() bool) {
+func (d *stubRouter) until(holds func() bool) {
 	for ok := false; !ok; runtime.Gosched() {
 		d.loop.Do(func() { ok = holds() })
 	}
 }
 
 // submitted waits until so many statements were taken.
-func (d *desk) submitted(n int) { d.until(func() bool { return len(d.taken) >= n }) }
+func (d *stubRouter) submitted(n int) { d.until(func() bool { return len(d.taken) >= n }) }
 
 // answer serves the n-th statement that was taken.
-func (d *desk) answer(n int) {
+func (d *stubRouter) answer(n int) {
 	d.loop.Do(func() {
 		row := &router.Row{Column: []byte("doc"), Value: fmt.Append(nil, "value", n), Tag: []byte("SELECT 1")}
 		d.taken[n].from.Answer(d.taken[n].ref, router.Answer{Verdict: router.Served, Row: row})
@@ -82,13 +82,13 @@
 }
 
 // pass lets so many milliseconds go by.
-func (d *desk) pass(ms float64) {
+func (d *stubRouter) pass(ms float64) {
 	d.clock.Set(d.clock.Now() + ms)
 	d.loop.Fire()
 }
 
 // only returns the one client there is.
-func (d *desk) only() (c *client) {
+func (d *stubRouter) only() (c *client) {
 	d.server.clients.Each(func(_ slots.Ref, one *client) { c = one })
 	return c
 }
@@ -101,7 +101,7 @@
 }
 
 // connect opens a connection, up to its first ReadyForQuery.
-func (d *desk) connect() *user {
+func (d *stubRouter) connect() *user {
 	d.t.Helper()
 	c, err := net.Dial("tcp", d.server.Address())
 	if err != nil {
@@ -121,7 +121,7 @@
 	}
 }
 
-// read is a query that the desk takes.
+// read is a query that the router takes.
 func read(id int) []byte {
 	return wire.AppendQuery(nil, fmt.Appendf(nil, "SELECT 1 /* id=%d,c=x,d=900,cluster=1 */", id))
 }
@@ -175,7 +175,7 @@
 // A statement that has come when the drain begins is answered, wherever it
 // waits to be read; then its client hears the end.
 func TestStatementThatCameBeforeADrainIsAnswered(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	d.loop.Do(func() { // nothing that is read can be taken up before the drain
 		c := d.only()
@@ -197,7 +197,7 @@
 // A statement that comes after the end of its connection's sending is neither
 // answered nor sent on: its client sends it again elsewhere.
 func TestStatementThatCrossesTheEndIsNotTaken(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	d.loop.Do(func() {
 		d.server.Drain()
@@ -225,7 +225,7 @@
 // Statements behind one under way: what came in time is answered in its turn,
 // what comes later is told to come again, and nothing of it is sent on.
 func TestStatementsBehindOneUnderWayAtADrain(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	u.write(append(write(1), write(2)...))
 	d.until(func() bool { return len(d.taken) == 1 && d.only().queue.Len() == 2 })
@@ -246,7 +246,7 @@
 
 // A part of a message is not waited for once a drain has begun.
 func TestPartOfAMessageDoesNotHoldADrainUp(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	u.write(read(1)[:9])
 	d.until(func() bool { return d.only().partial })
@@ -257,7 +257,7 @@
 
 // Nor does who goes on sending: what is unread then crosses the end.
 func TestWhoGoesOnSendingDoesNotHoldADrainUp(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	d.loop.Do(d.server.Drain)
 	d.loop.Do(func() {
@@ -283,7 +283,7 @@
 // An answer that could not be written says that the client has gone or is cut
 // off: what it sent ahead must not be sent on.
 func TestNothingIsTakenUpBehindAnAnswerThatNeverLeft(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	u.write(append(write(1), write(2)...))
 	d.until(func() bool { return len(d.taken) == 1 && d.only().queue.Len() == 2 })
@@ -304,7 +304,7 @@
 // part of one more, is heard at once; nothing of it is sent on.
 func TestClientThatGoesIsHeard(t *testing.T) {
 	for _, linger := range []int{-1, 0} { // an end, a reset
-		d := newDesk(t, 100)
+		d := newStub(t, 100)
 		u := d.connect()
 		u.write(append(append(write(1), write(2)...), write(3)[:11]...))
 		d.until(func() bool { return len(d.taken) == 1 && d.only().queue.Len() == 2 && d.only().partial })
@@ -324,7 +324,7 @@
 // Whoever has to make room for another hears the end, and no reset, though it
 // speaks just then: its last answer may still be on its way to it.
 func TestClientThatMakesRoomIsNotReset(t *testing.T) {
-	d := newDesk(t, 28) // two clients
+	d := newStub(t, 28) // two clients
 	u := d.connect()
 	u.write(read(1))
 	d.submitted(1)
@@ -355,7 +355,7 @@
 // A client that reads nothing, or that does not go when told, holds its
 // connection for no longer than the limits.
 func TestDrainedClientThatStaysIsCut(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	d.connect()
 	d.loop.Do(d.server.Drain)
 	d.pass(drainDelay)
@@ -366,7 +366,7 @@
 // Whoever is turned away hears so, however many come at once, as long as there
 // are descriptors that nobody has taken.
 func TestManyTurnedAwayAtOnceHearSo(t *testing.T) {
-	d := newDesk(t, 100) // 50 of 76 are for clients
+	d := newStub(t, 100) // 50 of 76 are for clients
 	for n := range 50 {
 		d.connect().write(read(n))
 		d.submitted(n + 1)
--- a/internal/postgres/front/commands_test.go
+++ b/internal/postgres/front/commands_test.go
@@ -25,7 +25,7 @@
 // A bound on memory is no fault of the client: a value as long as any may be,
 // and many statements, behind one that is under way are all answered.
 func TestLongAndManyStatementsBehindOneAreAnswered(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	b := write(0)
 	for n := range 3 {
@@ -44,7 +44,7 @@
 
 // Reads run at the same time; their answers leave in the order of the commands.
 func TestReadsRunAtTheSameTimeAndAreAnsweredInOrder(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	u.write(append(append(read(1), read(2)...), "S\x00\x00\x00\x04"...))
 	d.submitted(2)
@@ -61,7 +61,7 @@
 
 // A write runs after the writes before it.
 func TestWritesRunInOrder(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	u.write(append(append(write(1), write(2)...), read(3)...))
 	d.until(func() bool { return d.only().queue.Len() == 3 })
@@ -77,7 +77,7 @@
 // A statement whose time runs out while it waits for another needs no attempt
 // and no text, only its answer in its turn.
 func TestStatementThatExpiresWhileItWaits(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	u.write(append(write(1), large(2, 64<<10)...))
 	d.until(func() bool { return d.only().queue.Len() == 2 })
@@ -105,7 +105,7 @@
 // their answers is left; the oldest of each connection always runs.
 func TestStatementsRunSideBySideAsFarAsMemoryGoes(t *testing.T) {
 	const clients = 4
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	for n := range clients {
 		u := d.connect()
 		var b []byte
@@ -143,7 +143,7 @@
 		"no message": {"Q\x00\x00\x00\x00", "08P01"},
 		"goodbye":    {"X\x00\x00\x00\x04", "end"},
 	} {
-		d := newDesk(t, 100)
+		d := newStub(t, 100)
 		u := d.connect()
 		u.write(append(read(1), c.behind...))
 		d.until(func() bool { one := d.only(); return len(d.taken) == 1 && one.queue.Len() == 2 })
@@ -159,7 +159,7 @@
 // in its turn, refused where there was no room, and memory stays bounded.
 func TestFloodOfStatementsIsRefusedInTurnWithinMemory(t *testing.T) {
 	const clients, each = 8, 4000
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	var users []*user
 	for n := range clients {
 		u := d.connect()
@@ -215,7 +215,7 @@
 // A flood of messages that cannot be counted together ends its connection, in
 // its turn, once memory is short.
 func TestFloodOfOtherMessagesEndsItsConnection(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	u.write(read(1))
 	d.submitted(1)
@@ -244,7 +244,7 @@
 // The poller reads on whatever becomes of it: who has sent more than memory
 // holds is not served any further.
 func TestUnreadBytesAreBounded(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	f := &readAhead{in: netpoll.NewLinkBuffer()}
 	if _, err := f.in.WriteString(strings.Repeat("H\x00\x00\x00\x04", testMemoryMB*(1<<20)/5)); err != nil {
 		t.Fatal(err)
@@ -261,7 +261,7 @@
 
 // Parts of long messages on many connections are bounded together.
 func TestPartsOfLongMessagesAreBounded(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	most := testMemoryMB * (1 << 20) / 10
 	part := binary.BigEndian.AppendUint32([]byte("Q"), wire.MaxMessage+4)
 	var users []*user
@@ -286,7 +286,7 @@
 // A client that cancels its statement has gone, as far as that is concerned;
 // one that does not know the secret cancels nothing.
 func TestCancelRequestEndsTheStatement(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	u.write(append(write(1), write(2)...))
 	d.submitted(1)
@@ -328,7 +328,7 @@
 // A client that does not read holds a bounded part of its answers in memory,
 // and is cut off after the timeout; its requests lapse.
 func TestClientThatReadsNothingIsCutOff(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	u := d.connect()
 	if err := u.c.SetReadBuffer(1 << 10); err != nil {
 		t.Fatal(err)
--- a/internal/postgres/front/cut_test.go
+++ b/internal/postgres/front/cut_test.go
@@ -12,7 +12,7 @@
 // Nothing but a whole statement is taken; its request lapses, and of the client
 // nothing is left, at a clock that stands still.
 func TestClientCutAnywhere(t *testing.T) {
-	d := newDesk(t, 100)
+	d := newStub(t, 100)
 	whole := append(wire.AppendStartup(nil, "app", "shop"), read(1)...)
 	for _, linger := range []int{-1, 0} { // an end, a reset
 		for cut := range len(whole) + 1 {
