Bound what an error quotes of a statement, and book the whole answer that waits

Found by reading the change again: an error that waits for its turn was booked at 256 bytes, and quoted what the client had sent: `the number "..."`, `cluster "..."`, `unknown class "..."`, up to 256 KiB each, so that a client that sends such statements behind one under way could hold memory past the budget. An error now quotes 200 bytes, and an answer is booked whole.

Test: three such statements of 100 KB; fails with the cut taken out.

--- a/internal/postgres/front/commands.go
+++ b/internal/postgres/front/commands.go
@@ -40,7 +40,12 @@
 	cancelledAnswer  = errorAnswer(wire.CodeCancelled, "canceling statement due to user request")
 )
 
+// maxErrorText bounds what an error quotes of a client's statement, in bytes:
+// the answer may have to wait for its turn.
+const maxErrorText = 200
+
 func errorAnswer(code, message string) []byte {
+	message = message[:min(len(message), maxErrorText)]
 	return wire.AppendReady(wire.AppendError(nil, "ERROR", code, message, ""))
 }
 
@@ -115,7 +120,7 @@
 	if c.queue.Merge(answer) {
 		return nil
 	}
-	if c.queue.Len() > 0 && !c.server.queued.Fits(commandSize) {
+	if c.queue.Len() > 0 && !c.server.queued.Fits(commandSize+len(answer)) {
 		return errMemory
 	}
 	c.addAnswered(answer)
@@ -131,7 +136,7 @@
 }
 
 func (c *client) addAnswered(answer []byte) {
-	c.queue.AddAnswered(answer, false, c.book(commandSize))
+	c.queue.AddAnswered(answer, false, c.book(commandSize+len(answer)))
 	c.sendAnswers()
 	c.drainIfIdle()
 }
--- a/internal/postgres/front/commands_test.go
+++ b/internal/postgres/front/commands_test.go
@@ -232,6 +232,29 @@
 	u.want(u.hear("no such"), "value0", "53200")
 }
 
+// An error that waits for its turn holds little, however long the statement is
+// that it tells of.
+func TestErrorsQuoteLittleOfAStatement(t *testing.T) {
+	long := strings.Repeat("x", 100<<10)
+	for _, comment := range []string{
+		"id=1,c=x,d=9,cluster=" + long, "id=1,c=x,cluster=1,d=" + long, long,
+	} {
+		d := newStub(t, 100)
+		u := d.connect()
+		u.write(append(write(1), wire.AppendQuery(nil, []byte("SELECT 1 /* "+comment+" */"))...))
+		d.until(func() bool { return d.only().queue.Len() == 2 })
+		d.loop.Do(func() {
+			if held := d.held(); held > 2<<10 {
+				t.Errorf("%.30q: %d bytes are held", comment, held)
+			}
+		})
+		d.answer(0)
+		if got := u.hear("Z") + u.hear("Z"); !strings.Contains(got, "42601") || len(got) > 1<<10 {
+			t.Errorf("%.30q: %d bytes of answers: %.300q", comment, len(got), got)
+		}
+	}
+}
+
 // readAhead is a connection of which a lot was read, and that takes no bytes.
 type readAhead struct {
 	netpoll.Connection
