--- a/internal/postgres/front/commands.go
+++ b/internal/postgres/front/commands.go
@@ -280,9 +280,10 @@
 	delete(server.ids, s.id)
 }
 
-// answer keeps the answer to s until its turn, and no longer its text.
+// answer keeps the answer to s until its turn, and nothing longer of what its
+// client sent.
 func (s *statement) answer(b []byte) {
-	s.request.Statement.Text = nil
+	s.request.Statement.Text, s.id = nil, ""
 	s.command.Answer(b)
 	s.rebook(commandSize + len(b))
 }
--- a/internal/postgres/front/commands_test.go
+++ b/internal/postgres/front/commands_test.go
@@ -90,8 +90,8 @@
 		}
 		d.server.Answer(d.taken[1].ref, router.Answer{Verdict: router.Refused})
 		d.only().queue.Each(func(c *pipeline.Command[*statement]) {
-			if !c.Running() && len(c.Value.request.Statement.Text) > 0 {
-				t.Error("its text is kept")
+			if !c.Running() && len(c.Value.request.Statement.Text)+len(c.Value.id) > 0 {
+				t.Error("its text or id is kept")
 			}
 		})
 		if held := d.held(); held > 4<<10 {
