Test which reads wait for a write, spoilt late answers and attempts half written

Found by taking guards out one by one: the front's reading of classes into what conflicts, a spoilt answer on a connection that is listened to, and an attempt given up while it is written had no test that failed without them. Tests start the program in one way. A connection's idle time begins once for each answer that leaves, not also while it waits: one deadline less for each request.

--- a/cmd/lotusbend/main_test.go
+++ b/cmd/lotusbend/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"math"
 	"os"
@@ -31,6 +32,20 @@
 	os.Exit(m.Run())
 }
 
+// logOf starts the program and returns its log.
+func logOf(t *testing.T, program *exec.Cmd, variables ...string) io.Reader {
+	t.Helper()
+	program.Env = append(append(os.Environ(), asProgram+"=1"), variables...)
+	log, err := program.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := program.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return log
+}
+
 // A line of netpoll's for every connection that is reset would fill the log.
 func TestLinesOfNetpollAreForDebugging(t *testing.T) {
 	for level, want := range map[slog.Level]bool{slog.LevelInfo: false, slog.LevelDebug: true} {
@@ -85,14 +100,7 @@
 		}
 	}
 	set(`{"log": {"form": "json"}} // from here on`)
-	program.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+path, "LOTUSBEND_SETTINGS="+settings)
-	log, err := program.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := program.Start(); err != nil {
-		t.Fatal(err)
-	}
+	log := logOf(t, program, "GW_CONFIG="+path, "LOTUSBEND_SETTINGS="+settings)
 	lines := bufio.NewScanner(log)
 	await := func(part string) {
 		t.Helper()
--- a/cmd/lotusbend/start_test.go
+++ b/cmd/lotusbend/start_test.go
@@ -29,14 +29,7 @@
 		t.Fatal(err)
 	}
 	program := exec.Command("/bin/sh", "-c", line, os.Args[0])
-	program.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+path)
-	log, err := program.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := program.Start(); err != nil {
-		t.Fatal(err)
-	}
+	log := logOf(t, program, "GW_CONFIG="+path)
 	t.Cleanup(func() { _ = program.Process.Kill(); _ = program.Wait() })
 	lines := bufio.NewScanner(log)
 	for lines.Scan() && !strings.Contains(lines.Text(), "msg=serving") {
--- a/cmd/lotusbend/stop_test.go
+++ b/cmd/lotusbend/stop_test.go
@@ -99,14 +99,7 @@
 		t.Fatal(err)
 	}
 	program := exec.Command(os.Args[0])
-	program.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+path)
-	log, err := program.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := program.Start(); err != nil {
-		t.Fatal(err)
-	}
+	log := logOf(t, program, "GW_CONFIG="+path)
 	to, err := os.OpenFile(path, os.O_WRONLY, 0) // open once the program reads it
 	if err != nil {
 		t.Fatal(err)
--- a/internal/postgres/back/abandon_test.go
+++ b/internal/postgres/back/abandon_test.go
@@ -18,8 +18,11 @@
 type listener struct {
 	noEvents
 	heard chan router.Report
+	ended chan router.Report
 }
 
+func (l listener) Ended(_ router.Attempt, rep router.Report) { l.ended <- rep }
+
 func (l listener) Overheard(host uint32, rep router.Report) {
 	rep.Row = nil // valid during the call only
 	if host == 1 {
@@ -43,7 +46,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &under{t: t, clock: clock.Manual(1000), events: listener{heard: make(chan router.Report, 9)}}
+	u := &under{t: t, clock: clock.Manual(1000), events: listener{heard: make(chan router.Report, 9), ended: make(chan router.Report, 9)}}
 	u.pool = New(clock.NewLoop(u.clock), Options{}, netio.NewBudget(100), u.events)
 	u.pool.loop.Do(func() {
 		u.pool.SetHost(1, l.Addr().String(), true)
@@ -119,6 +122,33 @@
 	}
 }
 
+// What is no answer ends such a connection and tells nothing: the attempt has
+// ended already.
+func TestSpoiltAnswerToAnAttemptGivenUpTellsNothing(t *testing.T) {
+	u := underWay(t, false)
+	u.cancel()
+	u.write([]byte("Z\x00\x00\x00\x00"))
+	u.until(func() bool { _, hosts := u.pool.budget.Open(); return hosts == 0 })
+	u.pool.loop.Do(func() {
+		if len(u.events.heard)+len(u.events.ended) > 0 {
+			t.Errorf("%d heard, %d ended", len(u.events.heard), len(u.events.ended))
+		}
+	})
+}
+
+// An attempt of which a part may not have left is given up by closing: what is
+// written on must not follow.
+func TestAttemptThatIsBeingWrittenIsClosed(t *testing.T) {
+	u := underWay(t, false)
+	u.pool.loop.Do(func() {
+		u.pool.jobs.Get(u.sent).writing = true
+		u.pool.Cancel(u.sent)
+		if _, hosts := u.pool.budget.Open(); hosts != 0 {
+			t.Error("its connection is listened to")
+		}
+	})
+}
+
 // Nobody waits longer for such an answer than it may take, nor for one to a
 // write, nor where the socket is wanted.
 func TestConnectionOfAnAttemptGivenUpIsClosedSoon(t *testing.T) {
--- a/internal/postgres/front/closing_test.go
+++ b/internal/postgres/front/closing_test.go
@@ -36,9 +36,11 @@
 	wait float64
 }
 
-// Class knows writes, w, and reads that any member may answer, x.
+// Class knows writes, w, fresh reads, f, reads of a session, s, and reads that
+// any member may answer, x.
 func (d *stubRouter) Class(name []byte) (router.Class, bool) {
-	return router.Class{Write: string(name) == "w"}, true
+	class := string(name)
+	return router.Class{Write: class == "w", Fresh: class == "f", Session: class == "s"}, true
 }
 func (d *stubRouter) Lapse(slots.Ref) { d.lapsed++ }
 func (d *stubRouter) Submit(r router.Request, from router.Client, ref slots.Ref) slots.Ref {
--- a/internal/postgres/front/commands.go
+++ b/internal/postgres/front/commands.go
@@ -290,10 +290,12 @@
 
 // advance goes on with the queue after an answer to one of its commands.
 func (c *client) advance() {
-	c.beginIdle()
 	c.sendAnswers()
 	c.startCommands()
-	c.drainIfIdle()
+	if !c.busy() && !c.closing {
+		c.beginIdle()
+		c.drainIfIdle()
+	}
 }
 
 // sendAnswers sends the answers whose turn has come. Further ones wait until
--- a/internal/postgres/front/commands_test.go
+++ b/internal/postgres/front/commands_test.go
@@ -75,6 +75,31 @@
 	d.submitted(3)
 }
 
+// A read that must see a write runs after it: a fresh one of its group, and one
+// of its session. Others do not wait.
+func TestReadsThatMustSeeAWriteRunAfterIt(t *testing.T) {
+	for read, waits := range map[string]bool{
+		"SELECT 1 /* id=2,c=f,d=900,cluster=1 */":                             true,
+		"SELECT 1 /* id=2,c=f,d=900,cluster=2 */":                             false,
+		"SELECT doc FROM items WHERE id = 'a' /* id=2,c=s,d=900,cluster=1 */": true,
+		"SELECT doc FROM items WHERE id = 'b' /* id=2,c=s,d=900,cluster=1 */": false,
+		"SELECT doc FROM items WHERE id = 'a' /* id=2,c=x,d=900,cluster=1 */": false,
+		"INSERT INTO items VALUES ('b') /* id=2,c=w,d=900,cluster=1 */":       true,
+		"INSERT INTO items VALUES ('a') /* id=2,c=w,d=900,cluster=2 */":       false,
+	} {
+		d := newStub(t, 100)
+		u := d.connect()
+		b := wire.AppendQuery(nil, []byte("INSERT INTO items VALUES ('a') /* id=1,c=w,d=900,cluster=1 */"))
+		u.write(wire.AppendQuery(b, []byte(read)))
+		d.until(func() bool { return d.only().queue.Len() == 2 })
+		d.loop.Do(func() {
+			if waited := len(d.taken) == 1; waited != waits {
+				t.Errorf("%s: waits %v, want %v", read, waited, waits)
+			}
+		})
+	}
+}
+
 // A statement whose time runs out while it waits for another needs no attempt
 // and no text, only its answer in its turn.
 func TestStatementThatExpiresWhileItWaits(t *testing.T) {
