Cut a flooding client off only once its last answers are with the system

Seen: with its tests 200 times under the race detector, TestFloodOfOtherMessagesEndsItsConnection failed once of some 60 with "end" and no answer, and its own look at `discarding` raced. Cause: `discard` (input.go) took a client that was being half-closed for one that is owed nothing, though its answers were still being written; 64 KiB of further bytes closed the connection over them. Ruled out: the reset, which leaves what was sent before.

Owed is now whatever waits or is being written. `discarding` is set inside the loop, where the test reads it. The new test holds the write up and floods before and while it waits; it fails with either half of the condition taken out.

--- a/internal/postgres/front/commands_test.go
+++ b/internal/postgres/front/commands_test.go
@@ -247,7 +247,7 @@
 	d.submitted(1)
 	flood := strings.Repeat("S\x00\x00\x00\x04Q\x00\x00\x00\x05\x00", testMemoryMB*(1<<20)/commandSize)
 	go func() { _, _ = u.c.Write([]byte(flood)) }()
-	d.until(func() bool { return d.only().discarding || d.only().queue.Len() > len(flood) })
+	d.until(func() bool { return d.only().discarding })
 	d.loop.Do(func() {
 		if used := d.held(); used > testMemoryMB*(1<<20)/2 {
 			t.Errorf("%d bytes are held", used)
@@ -392,6 +392,47 @@
 	return nil
 }
 
+// A client that goes on sending after it broke the protocol is cut off, but not
+// before the answer to what came before is with the system.
+func TestFloodBehindTheEndDoesNotTakeTheAnswer(t *testing.T) {
+	d := newStub(t, 100)
+	stuck := &stuckConn{readAhead: readAhead{in: netpoll.NewLinkBuffer()}, closed: make(chan struct{})}
+	c := &client{server: d.server, conn: netio.NewConn(stuck), greeted: true}
+	flood := func() {
+		if _, err := stuck.in.WriteString(strings.Repeat("x", maxDiscarded+1)); err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(stuck.in.Flush(), c.onData(stuck)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.loop.Do(func() {
+		d.server.budget.TakeClient()
+		c.ref = d.server.clients.Add(c)
+		if err := c.receive(wire.Query, read(1)[wire.HeaderLen:]); err != nil {
+			t.Fatal(err)
+		}
+		c.discarding = true
+		c.receiveEnd(errPartial)
+	})
+	flood()
+	d.answer(0) // and it is being written
+	flood()
+	select {
+	case <-stuck.closed:
+		t.Error("cut off before its answer has left")
+	default:
+	}
+	d.loop.Do(func() {
+		if !c.closing || !c.sending {
+			t.Errorf("closing %v, sending %v", c.closing, c.sending)
+		}
+		c.sending = false // it has left
+	})
+	flood()
+	<-stuck.closed
+}
+
 // A client that does not read is cut off after the timeout: one answer is with
 // its connection, the next one waits, and what it has under way lapses.
 func TestClientThatReadsNothingIsCutOff(t *testing.T) {
--- a/internal/postgres/front/input.go
+++ b/internal/postgres/front/input.go
@@ -38,8 +38,10 @@
 			read = c.readStartup
 		}
 		if err := read(in); err != nil { // what came before it is still answered, in its turn
-			c.discarding = true
-			c.server.loop.Do(func() { c.receiveEnd(err) })
+			c.server.loop.Do(func() {
+				c.discarding = true
+				c.receiveEnd(err)
+			})
 			continue
 		}
 		if err := in.Release(); err != nil {
@@ -50,14 +52,14 @@
 }
 
 // discard drops what has come: only the client's end still matters. One that
-// goes on sending is cut off once it is owed no answer.
+// goes on sending is cut off once all that it is owed is with the system.
 func (c *client) discard(nc netpoll.Connection) error {
 	in := nc.Reader()
 	n := in.Len()
 	owed := false
 	c.server.loop.Do(func() {
 		c.bookUnread(0)
-		owed = c.busy() && !c.closing
+		owed = c.busy()
 	})
 	if !owed {
 		c.discarded += n
