Make the router's tests free of other processes' ports and of late writes

Two causes, both of the tests. (1) A port was closed to be free or to refuse, and another process got it: startProgram (start_test.go), the discovery that comes back, TestRefusedConnectionIsNoAttempt, TestBreakAfterTheLastByteMayHaveRun. Some tests then talked to another process's router or host. (2) A client reads its answer before the router notes that it is with the system (sent in commands.go); pass moved the clock between the two, the client's idle time began later, and another client was let go than the test waited for. Ruled out: the router, which may count the idle time from either moment.

A program now logs where it listens and is asked for that; a port that refuses is bound and does not listen; pass waits until no answer is on its way (front.Server.Unsent, which the log of a stop gives too).

--- a/cmd/lotusbend/node.go
+++ b/cmd/lotusbend/node.go
@@ -252,7 +252,7 @@
 			return fmt.Errorf("closing the edge: %w", err)
 		}
 	}
-	n.log.Info("stopped", "clients_cut", s.clients)
+	n.log.Info("stopped", "clients_cut", s.clients, "clients_unsent", s.unsent)
 	return nil
 }
 
@@ -262,6 +262,7 @@
 	began   float64
 	alone   float64 // since when only connections that were turned away are left, 0 if others are
 	clients int     // connections left
+	unsent  int     // of these, with answers that are not all with the system
 	ended   chan struct{}
 }
 
@@ -285,7 +286,7 @@
 		s.router.Expire()
 	}
 	clients, leaving := s.server.Open()
-	s.clients = clients + leaving
+	s.clients, s.unsent = clients+leaving, s.server.Unsent()
 	held := s.router.Open() > 0 || clients > 0 || s.edge != nil && s.edge.Owes() && now < s.began+settleFor
 	if held {
 		s.alone = 0
--- a/cmd/lotusbend/start_test.go
+++ b/cmd/lotusbend/start_test.go
@@ -8,31 +8,35 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
+	"regexp"
 	"testing"
 	"time"
 
 	"lotusbend/internal/postgres/wire"
 )
 
+var servingLine = regexp.MustCompile(`msg=serving .*\blisten=(\S+)`)
+
 // startProgram runs the program by a line of the shell, with a configuration
 // file of that text, until the test ends. It returns where clients connect,
-// once it serves.
+// which the program logs once it serves.
 func startProgram(t *testing.T, line string, configuration []byte) (address string) {
 	t.Helper()
-	own := listen(t)
-	address = own.Addr().String()
-	_ = own.Close() // the program's
 	path := filepath.Join(t.TempDir(), "config")
-	text := strings.Replace(string(configuration), "127.0.0.1:0", address, 1)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(path, configuration, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	program := exec.Command("/bin/sh", "-c", line, os.Args[0])
 	log := logOf(t, program, "GW_CONFIG="+path)
 	t.Cleanup(func() { _ = program.Process.Kill(); _ = program.Wait() })
 	lines := bufio.NewScanner(log)
-	for lines.Scan() && !strings.Contains(lines.Text(), "msg=serving") {
+	for address == "" && lines.Scan() {
+		if found := servingLine.FindStringSubmatch(lines.Text()); found != nil {
+			address = found[1]
+		}
+	}
+	if address == "" {
+		t.Fatal("the program ended before it served")
 	}
 	go func() { // what it logs is read on
 		for lines.Scan() {
@@ -68,8 +72,7 @@
 // served. The system's limit is that of the settings.
 func TestIdleClientsLeaveDescriptorsToDiscoveryAndHosts(t *testing.T) {
 	const descriptors, idle = 100, 300
-	discovery, host := listen(t), listen(t)
-	_ = discovery.Close()
+	discovery, host := reservePort(t), listen(t)
 	address := startProgram(t, fmt.Sprintf(`ulimit -n %d; exec "$0"`, descriptors), configuration(discovery, descriptors))
 	for range idle {
 		c, err := net.Dial("tcp", address)
@@ -79,12 +82,7 @@
 		t.Cleanup(func() { _ = c.Close() })
 		_, _ = c.Write(wire.AppendStartup(nil, "app", "shop"))
 	}
-	// Discovery comes back at its old address.
-	back, err := net.Listen("tcp", discovery.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = back.Close() })
+	back := discovery.listen()
 	if err := back.(*net.TCPListener).SetDeadline(time.Now().Add(6 * time.Second)); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/lotusbend/story_test.go
+++ b/cmd/lotusbend/story_test.go
@@ -9,9 +9,11 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 
 	"lotusbend/internal/clock"
@@ -65,8 +67,54 @@
 	return l
 }
 
+// reservedPort is a port of loopback that refuses connections until it listens,
+// and that nobody else gets until the test ends.
+type reservedPort struct {
+	t    *testing.T
+	file *os.File
+	port int
+}
+
+func reservePort(t *testing.T) *reservedPort {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "reserved port")
+	t.Cleanup(func() { _ = file.Close() })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &reservedPort{t, file, bound.(*syscall.SockaddrInet4).Port}
+}
+
+func (r *reservedPort) Addr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: r.port}
+}
+
+func (r *reservedPort) listen() net.Listener {
+	r.t.Helper()
+	if err := syscall.Listen(int(r.file.Fd()), syscall.SOMAXCONN); err != nil {
+		r.t.Fatal(err)
+	}
+	l, err := net.FileListener(r.file)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// addressed is a listener, or a port that may become one.
+type addressed interface{ Addr() net.Addr }
+
 // endpoint is one line of the list, in group 1.
-func endpoint(name string, l net.Listener, recovery, status string) string {
+func endpoint(name string, l addressed, recovery, status string) string {
 	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","group":1,"status":%q,"recovery":%q,"since_ms":0}`,
 		name, l.Addr(), status, recovery)
 }
@@ -92,14 +140,17 @@
 }
 
 // configuration is a configuration file's contents.
-func configuration(discovery net.Listener, sockets int, known ...string) []byte {
+func configuration(discovery addressed, sockets int, known ...string) []byte {
 	return fmt.Appendf(nil, `{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"sockets":%d},
 		"known":{"index":1,"snapshot":true,"endpoints":[%s]},"settings":%s}`,
 		discovery.Addr(), sockets, strings.Join(known, ","), settingsJSON)
 }
 
-// pass sets the clock forward, deadline by deadline.
+// pass sets the clock forward, deadline by deadline. A client may have its
+// answer before the router knows that it is with the system: the client's idle
+// time begins then, so that is waited for.
 func (w *world) pass(ms float64) {
+	w.until(func() bool { return w.node.server.Unsent() == 0 })
 	end := w.clock.Now() + ms
 	for {
 		at, ok := w.loop.Next()
@@ -325,9 +376,7 @@
 // A refused connection never ran: the write is held, and refused with the
 // time to come back once it was held for half its wait.
 func TestRefusedConnectionIsNoAttempt(t *testing.T) {
-	l := listen(t)
-	_ = l.Close()
-	w := newWorld(t, 100, endpoint("p", l, "off", "ready"))
+	w := newWorld(t, 100, endpoint("p", reservePort(t), "off", "ready"))
 	p := w.client()
 	p.query(write)
 	w.until(func() bool { return w.node.router.Open() == 1 })
@@ -345,7 +394,6 @@
 	p.query(write)
 	h := accept(t, l)
 	h.message()
-	_ = l.Close()
 	_ = h.c.Close()
 	w.until(func() bool { _, hosts := w.node.budget.Open(); return hosts == 0 })
 	p.want(w.answerAfter(p), "57014")
--- a/internal/postgres/front/closing_test.go
+++ b/internal/postgres/front/closing_test.go
@@ -392,3 +392,19 @@
 		u.want(u.hear("no such"), "53300", "end")
 	}
 }
+
+// A client counts as unsent from its answer on until that is with the system.
+func TestUnsentCountsAnswersOnTheirWay(t *testing.T) {
+	d := newStub(t, 100)
+	u := d.connect()
+	u.write(read(1))
+	d.submitted(1)
+	d.loop.Do(func() { // the write is noted inside the loop, after this
+		d.taken[0].from.Answer(d.taken[0].ref, router.Answer{Verdict: router.Refused})
+		if n := d.server.Unsent(); n != 1 {
+			t.Errorf("%d clients have answers on their way, want 1", n)
+		}
+	})
+	d.until(func() bool { return d.server.Unsent() == 0 })
+	u.want(u.hear("Z"), "refused")
+}
--- a/internal/postgres/front/front.go
+++ b/internal/postgres/front/front.go
@@ -181,3 +181,14 @@
 	s.clients.Each(func(slots.Ref, *client) { clients++ })
 	return clients, s.onReserve
 }
+
+// Unsent returns how many clients have answers that are not all with the
+// system. It runs inside Do.
+func (s *Server) Unsent() (clients int) {
+	s.clients.Each(func(_ slots.Ref, c *client) {
+		if c.sending {
+			clients++
+		}
+	})
+	return clients
+}
