Ask a busy discovery again within 3 s where it can answer the fleet in that time

Need: a change counts as told 6 s after discovery had it and could be reached, whatever else is allowed after a failed call. After a 503 a router waited up to three times AskWithinMs (30 s with 10 s), in a fleet of any size: Pace.Failed (pace.go) bounded only the other failures.

The bound is now by need: 3 s, or 200 ms of the one service for each router if that is more, so that up to 15 routers keep the term. For larger fleets it stays a question to the operators.

TestChangeIsAskedForInTimeAfterAnyFailures has the busy service for pushed lists and small fleets; without the bound the next call comes after 5 to 25 s and it fails. TestWaitsStayWithinTheSettings is stricter: it knows the new bound.

--- a/internal/discovery/pace/pace.go
+++ b/internal/discovery/pace/pace.go
@@ -17,16 +17,19 @@
 	// pushMost bounds the waits where the list comes by itself: what the agent
 	// has counts as told, heard or not, and asking it costs nothing.
 	pushMost = 200
-	// restMost bounds the wait before the first call and after every failure but
-	// a busy service. A change counts as told 6 s after discovery had it and could
-	// be reached, whatever became of earlier calls; a dial that hangs and the
-	// call's turn at the service come on top.
+	// restMost bounds the wait before the first call and after every failure. A
+	// change counts as told 6 s after discovery had it and could be reached,
+	// whatever became of earlier calls; a dial that hangs and the call's turn at
+	// the service come on top. Only a service that says it is too busy, and that
+	// can't answer the whole fleet in that time, is given more.
 	restMost = 3000
-	// busyShare of the time to ask within bounds the waits where the service says
-	// that it is too busy: the settings allow four times that time after a failed
-	// call, and the draw adds up to a half. Calls that came sooner would keep it
-	// busy for good.
-	busyShare = 2
+	// busyCalls is for how many calls of every router a busy service gets the
+	// time, each of aCall. Calls that came sooner would keep it busy for good.
+	busyCalls = 4
+	// growShare of the time to ask within bounds what waits grow to: the settings
+	// allow four times that time after a failed call, and the draw adds up to a
+	// half.
+	growShare = 2
 	// firstShare of it bounds the wait before the first call: a router that has
 	// not asked by then counts as told, and its call takes its turn.
 	firstShare = 0.5
@@ -44,6 +47,7 @@
 	rng               *rand.Rand
 	ask               bool
 	first, most, next float64 // waits: at first, at most, after the next failure
+	busyMost          float64 // bound on a wait after a busy service
 }
 
 // New returns the pace of a router that has not called yet.
@@ -54,8 +58,9 @@
 		if c.AskWithin > 0 {
 			p.first = min(p.first, firstShare*c.AskWithin)
 		}
-		p.most = max(pushMost, busyShare*c.AskWithin, p.first)
+		p.most = max(pushMost, growShare*c.AskWithin, p.first)
 	}
+	p.busyMost = max(restMost, busyCalls*aCall*float64(c.Routers))
 	p.next = p.first
 	return p
 }
@@ -74,10 +79,11 @@
 func (p *Pace) Failed(busy bool) float64 {
 	wait := p.next * (0.5 + p.rng.Float64())
 	p.next = min(2*p.next, p.most)
+	most := float64(restMost)
 	if busy {
-		return wait
+		most = p.busyMost
 	}
-	return min(wait, restMost*(0.5+p.rng.Float64()/2))
+	return min(wait, most*(0.5+p.rng.Float64()/2))
 }
 
 // Heard tells that a call was answered.
--- a/internal/discovery/pace/pace_test.go
+++ b/internal/discovery/pace/pace_test.go
@@ -76,6 +76,7 @@
 	for _, c := range []Config{
 		{Routers: 80, MustAsk: true, AskWithin: 10000}, {Routers: 5000, MustAsk: true, AskWithin: 10000},
 		{Routers: -3, MustAsk: true}, {Routers: 80, AskWithin: 10000}, {},
+		{Routers: 6, MustAsk: true, AskWithin: 10000}, {Routers: 15, MustAsk: true, AskWithin: 10000},
 	} {
 		p := New(c, 7)
 		if w := p.First(true); w < 0 || w > 3000 || (c.AskWithin > 0 && w > c.AskWithin/2) || (!c.MustAsk && w != 0) {
@@ -85,8 +86,8 @@
 			t.Errorf("%+v: a router without a list waits", c)
 		}
 		most, busyMost := 1.5*pushMost, 1.5*pushMost
-		if c.MustAsk {
-			most, busyMost = 3000, max(busyMost, 4*c.AskWithin)
+		if c.MustAsk { // 200 ms of the service for each router, or what is allowed after a failure if that is less
+			most, busyMost = 3000, max(3000, min(200*float64(c.Routers), 4*c.AskWithin))
 		}
 		for range 40 {
 			if w := p.Failed(true); w <= 0 || w > busyMost {
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"runtime"
@@ -200,10 +201,16 @@
 		"no list":   func(s *script) { s.call(); s.write("Content-Length: 1\r\n\r\n[") },
 		"cut short": func(s *script) { s.call(); s.write("Content-Length: 9\r\n\r\n["); _ = s.c.Close() },
 	}
+	busy := func(s *script) { s.call(); s.status("503 Service Unavailable") }
 	for mode, config := range map[string]pace.Config{
 		"pushed": {Routers: 300}, "asked": {Routers: 300, MustAsk: true, AskWithin: 10000},
 		"asked by many": {Routers: 3000, MustAsk: true, AskWithin: 60000}, "asked, untold": {Routers: 300, MustAsk: true},
+		"asked by few": {Routers: 15, MustAsk: true, AskWithin: 10000},
 	} {
+		failures := maps.Clone(failures)
+		if !config.MustAsk || config.Routers <= 15 { // one service can answer so many in this time, however busy
+			failures["busy"] = busy
+		}
 		for name, fail := range failures {
 			s := newScript(t, config)
 			for range 12 {
