--- /dev/null
+++ b/cmd/lotusbend/world_test.go
@@ -0,0 +1,327 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+
+	"lotusbend/internal/clock"
+	"lotusbend/internal/config"
+	"lotusbend/internal/options"
+	"lotusbend/internal/postgres/wire"
+)
+
+const start = 1767225600000 // of the settable clock
+
+const settingsJSON = `{"Classes": [
+	{"AimMs": 500, "GiveUpMs": 1200, "Group": "all", "Importance": 2, "KeyTtlMs": 5000, "LateWorth": 0, "Name": "view", "Semantics": "pure"},
+	{"AimMs": 750, "GiveUpMs": 5000, "Group": "cell", "Importance": 4, "KeyTtlMs": 5000, "LateWorth": 0.3, "Name": "write", "Semantics": "token"}],
+	"Discovery": "push", "FamilyInfo": {"ClassRead": ["bounded", "write"], "OldestDataMs": [800, 0], "Stamps": true, "Tokens": "carried", "WhenBehind": "refuse"},
+	"Feedback": {"Fields": ["x0", "x1"], "Via": "on_probe"}, "FleetSize": 1,
+	"Limits": {"Cancelling": true, "ConnIdleMs": 30000, "ConnectTimeoutMs": 250, "MaxAttempts": 6, "MaxRetryAfterMs": 1000, "ParallelTries": true, "Probes": false, "RetryAfter": true},
+	"Locality": 0, "Rules": {"ColdMs": 18000, "OverloadFactor": 2, "OverloadForMs": 1000, "StartCapacity": 0.2}, "Zones": ["a", "b"]}`
+
+// settled is longer than a connection rests after an answer, in milliseconds.
+const settled = 5
+
+// world is a router on loopback between scripted peers, at a clock that
+// stands still until the story sets it.
+type world struct {
+	t         *testing.T
+	clock     *clock.Clock
+	loop      *clock.Loop
+	node      *node
+	discovery net.Listener
+	stop      context.CancelFunc
+	ended     chan error
+	logged    chan string
+}
+
+// Write takes a line of the router's log.
+func (w *world) Write(line []byte) (int, error) {
+	select {
+	case w.logged <- string(line):
+	default: // nobody waits for it
+	}
+	return len(line), nil
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// reservedPort is a port of loopback that refuses connections until it listens,
+// and that nobody else gets until the test ends.
+type reservedPort struct {
+	t    *testing.T
+	file *os.File
+	port int
+}
+
+func reservePort(t *testing.T) *reservedPort {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "reserved port")
+	t.Cleanup(func() { _ = file.Close() })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &reservedPort{t, file, bound.(*syscall.SockaddrInet4).Port}
+}
+
+func (r *reservedPort) Addr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: r.port}
+}
+
+func (r *reservedPort) listen() net.Listener {
+	r.t.Helper()
+	if err := syscall.Listen(int(r.file.Fd()), syscall.SOMAXCONN); err != nil {
+		r.t.Fatal(err)
+	}
+	l, err := net.FileListener(r.file)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// addressed is a listener, or a port that may become one.
+type addressed interface{ Addr() net.Addr }
+
+// endpoint is one line of the list, in group 1.
+func endpoint(name string, l addressed, recovery, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","group":1,"status":%q,"recovery":%q,"since_ms":0}`,
+		name, l.Addr(), status, recovery)
+}
+
+func newWorld(t *testing.T, sockets int, known ...string) *world {
+	t.Helper()
+	w := &world{t: t, clock: clock.Manual(start), discovery: listen(t), ended: make(chan error, 1),
+		logged: make(chan string, 100)}
+	w.loop = clock.NewLoop(w.clock)
+	c, err := config.Parse(configuration(w.discovery, sockets, known...), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w.node, err = newNode(c, &options.Options{}, w.loop, slog.New(slog.NewTextHandler(w, nil))); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	t.Cleanup(cancel)
+	w.node.start()
+	go func() { w.ended <- w.node.run(ctx) }()
+	return w
+}
+
+// configuration is a configuration file's contents.
+func configuration(discovery addressed, sockets int, known ...string) []byte {
+	return fmt.Appendf(nil, `{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"sockets":%d},
+		"known":{"index":1,"snapshot":true,"endpoints":[%s]},"settings":%s}`,
+		discovery.Addr(), sockets, strings.Join(known, ","), settingsJSON)
+}
+
+// pass sets the clock forward, deadline by deadline. A client may have its
+// answer before the router knows that it is with the system: the client's idle
+// time begins then, so that is waited for.
+func (w *world) pass(ms float64) {
+	w.until(func() bool { return w.node.server.Unsent() == 0 })
+	end := w.clock.Now() + ms
+	for {
+		at, ok := w.loop.Next()
+		if !ok || at > end {
+			break
+		}
+		w.clock.Set(max(at, w.clock.Now()))
+		w.loop.Fire()
+	}
+	w.clock.Set(end)
+}
+
+// answerAfter lets time pass until p has its answer, at the most the wait of
+// the write: further on, an answer not written yet would be given up.
+func (w *world) answerAfter(p *peer) string {
+	done := make(chan string, 1)
+	go func() { done <- p.answer() }()
+	for range 201 {
+		w.pass(10)
+		runtime.Gosched()
+	}
+	return <-done
+}
+
+// until waits for what the router's state must come to.
+func (w *world) until(holds func() bool) {
+	for ok := false; !ok; runtime.Gosched() {
+		w.loop.Do(func() { ok = holds() })
+	}
+}
+
+// peer is the test's end of a connection.
+type peer struct {
+	t  *testing.T
+	c  net.Conn
+	in *bufio.Reader
+}
+
+func newPeer(t *testing.T, c net.Conn) *peer {
+	t.Cleanup(func() { _ = c.Close() })
+	return &peer{t, c, bufio.NewReader(c)}
+}
+
+func (p *peer) write(b []byte) {
+	p.t.Helper()
+	if _, err := p.c.Write(b); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// message reads one message; kind 0 is the end of the connection.
+func (p *peer) message() (kind byte, body string) {
+	h := make([]byte, wire.HeaderLen)
+	if _, err := io.ReadFull(p.in, h); err != nil {
+		return 0, ""
+	}
+	b := make([]byte, binary.BigEndian.Uint32(h[1:])-4)
+	if _, err := io.ReadFull(p.in, b); err != nil {
+		return 0, ""
+	}
+	return h[0], string(b)
+}
+
+// answer reads up to ReadyForQuery and returns the kinds read, with what an
+// error or a row says.
+func (p *peer) answer() string {
+	var kinds, text string
+	for {
+		kind, body := p.message()
+		if kind == 0 {
+			return kinds + " closed " + text
+		}
+		if kind == wire.DataRow || kind == wire.ErrorResponse {
+			text += strings.ReplaceAll(body, "\x00", "|")
+		}
+		if kind != wire.ParameterStatus {
+			kinds += string(kind)
+		}
+		if kind == wire.ReadyForQuery {
+			return kinds + " " + text
+		}
+	}
+}
+
+func (p *peer) want(got, part string) {
+	p.t.Helper()
+	if !strings.Contains(got, part) {
+		p.t.Fatalf("got %q, want %q in it", got, part)
+	}
+}
+
+// dial connects a client that has not said anything.
+func (w *world) dial() *peer {
+	w.t.Helper()
+	c, err := net.Dial("tcp", w.node.server.Address())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return newPeer(w.t, c)
+}
+
+// client connects a client up to its first ReadyForQuery.
+func (w *world) client() *peer {
+	p := w.dial()
+	p.write(wire.AppendStartup(nil, "app", "shop"))
+	p.want(p.answer(), "RKZ")
+	return p
+}
+
+func (p *peer) query(sql string) { p.write(wire.AppendQuery(nil, []byte(sql))) }
+
+const (
+	view  = `SELECT doc FROM items WHERE id = '7f3a' /* id=9b1f,c=view,d=1000,cluster=1 */`
+	write = `INSERT INTO items (id, doc) VALUES ('7f3a', '\x9f03') RETURNING doc /* id=9b20,c=write,d=2000,k=5c0f,cluster=1 */`
+)
+
+// accept takes a router's connection to a database host, up to its first
+// ReadyForQuery.
+func accept(t *testing.T, l net.Listener) *peer {
+	t.Helper()
+	p := slow(t, l)
+	p.comesUp()
+	return p
+}
+
+// serve answers the next statement, which it returns.
+func (p *peer) serve(value, role string) string {
+	kind, body := p.message()
+	if kind != wire.Query {
+		p.t.Fatalf("a host got %q instead of a statement", kind)
+	}
+	p.write(row(body, value, role))
+	return strings.TrimRight(body, "\x00")
+}
+
+// row is a host's whole answer to the statement.
+func row(statement, value, role string) []byte {
+	b := wire.AppendRowDescription(nil, wire.Column{Name: []byte("doc"), Type: 17, Size: -1, Binary: true})
+	b = wire.AppendDataRow(b, []byte(value))
+	tag := "SELECT 1"
+	if strings.HasPrefix(statement, "INSERT") {
+		tag = "INSERT 0 1"
+	}
+	b = wire.AppendComplete(b, []byte(tag))
+	b = wire.AppendParameter(b, "recovery", role)
+	b = wire.AppendParameter(b, "lsn_ms", fmt.Sprint(start))
+	return wire.AppendReady(b)
+}
+
+func (p *peer) refuse(code string) {
+	if kind, _ := p.message(); kind != wire.Query {
+		p.t.Fatalf("a host got %q instead of a statement", kind)
+	}
+	p.write(wire.AppendReady(wire.AppendError(nil, "ERROR", code, "no", "")))
+}
+
+// agent takes the next watch at discovery's address.
+func agent(t *testing.T, l net.Listener) *peer {
+	t.Helper()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newPeer(t, c)
+}
+
+// tell answers a call for want with a list.
+func (p *peer) tell(want, list string) {
+	p.t.Helper()
+	r, err := http.ReadRequest(p.in)
+	if err != nil || r.URL.String() != want {
+		p.t.Fatalf("asked %v, %v; want %s", r, err, want)
+	}
+	p.write(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list))
+}
--- a/internal/postgres/back/abandon_test.go
+++ b/internal/postgres/back/abandon_test.go
@@ -23,7 +23,7 @@
 
 func (l listener) Ended(_ router.Attempt, rep router.Report) { l.ended <- rep }
 
-func (l listener) Overheard(host uint32, rep router.Report) {
+func (l listener) LateAnswer(host uint32, rep router.Report) {
 	rep.Row = nil // valid during the call only
 	if host == 1 {
 		l.heard <- rep
@@ -154,7 +154,7 @@
 func TestConnectionOfAnAttemptGivenUpIsClosedSoon(t *testing.T) {
 	u := underWay(t, false)
 	u.cancel()
-	u.clock.Set(u.clock.Now() + overhearFor)
+	u.clock.Set(u.clock.Now() + lateAnswerWindow)
 	u.pool.loop.Fire()
 	u.pool.loop.Do(func() {
 		if _, hosts := u.pool.budget.Open(); hosts != 0 {
--- a/internal/postgres/back/back_test.go
+++ b/internal/postgres/back/back_test.go
@@ -30,7 +30,7 @@
 
 func (noEvents) MayLeave(router.Attempt) bool        { return true }
 func (noEvents) Ended(router.Attempt, router.Report) {}
-func (noEvents) Overheard(uint32, router.Report)     {}
+func (noEvents) LateAnswer(uint32, router.Report)    {}
 func (noEvents) Probed(uint32, router.Report)        {}
 
 // A statement is not written where the host has spoken unasked or hung up: it
--- a/internal/postgres/back/cut_test.go
+++ b/internal/postgres/back/cut_test.go
@@ -17,7 +17,7 @@
 type outcomes chan decide.Outcome
 
 func (outcomes) MayLeave(router.Attempt) bool              { return true }
-func (outcomes) Overheard(uint32, router.Report)           {}
+func (outcomes) LateAnswer(uint32, router.Report)          {}
 func (outcomes) Probed(uint32, router.Report)              {}
 func (o outcomes) Ended(_ router.Attempt, r router.Report) { o <- r.Outcome }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -229,9 +229,9 @@
 	r.release(a.Request, q)
 }
 
-// Overheard takes what a host answered to an attempt that was given up: it is
+// LateAnswer takes what a host answered to an attempt that was given up: it is
 // news of the host alone.
-func (r *Router) Overheard(host uint32, rep Report) {
+func (r *Router) LateAnswer(host uint32, rep Report) {
 	r.module.Ended(r.now(), decide.Result{Attempt: unknownAttempt, Member: host, Outcome: rep.Outcome, Note: rep.Note})
 }
 
--- a/internal/router/watch_test.go
+++ b/internal/router/watch_test.go
@@ -137,7 +137,7 @@
 }
 
 // An answer to an attempt that was given up is news of its host's role.
-func TestOverheardAnswerTellsTheRole(t *testing.T) {
+func TestLateAnswerTellsTheRole(t *testing.T) {
 	w := newWatched(t)
 	leads := func() (leads bool) {
 		w.r.module.View(w.r.now(), func(v decide.MemberView) { leads = leads || v.ID == 2 && v.Primary })
@@ -147,7 +147,7 @@
 		if !leads() {
 			t.Fatal("the list's primary is not taken for one")
 		}
-		w.r.Overheard(2, Report{Outcome: decide.Miss, Note: decide.Note{Role: decide.RoleReplica}})
+		w.r.LateAnswer(2, Report{Outcome: decide.Miss, Note: decide.Note{Role: decide.RoleReplica}})
 		if leads() {
 			t.Error("a host that says it is a replica is taken for the primary")
 		}
