Judge a start by the order of its log and by the 10 s allowed, not by 5 s of a loaded machine

Its 5 s of real time were meant to show that the start waits for no call to discovery. That shows in the log's order now: no call may have ended before the program serves. 10 s is what a restarted router is allowed.

--- a/cmd/lotusbend/start_test.go
+++ b/cmd/lotusbend/start_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,6 +32,9 @@
 	t.Cleanup(func() { _ = program.Process.Kill(); _ = program.Wait() })
 	lines := bufio.NewScanner(log)
 	for address == "" && lines.Scan() {
+		if strings.Contains(lines.Text(), "msg=discovery") {
+			t.Errorf("a call to discovery ended before the program served: %s", lines.Text())
+		}
 		if found := servingLine.FindStringSubmatch(lines.Text()); found != nil {
 			address = found[1]
 		}
@@ -45,6 +49,11 @@
 	return address
 }
 
+// readyWithin is what a restarted router may take on the operators' machines.
+// That it waits for nothing shows in the order of its log, however loaded this
+// machine is.
+const readyWithin = 10 * time.Second
+
 // A router that starts while discovery is silent is ready at once and serves by
 // the list that it was given: nothing is turned away for want of a new one.
 func TestStartServesWhileDiscoveryIsSilent(t *testing.T) {
@@ -59,7 +68,7 @@
 	p.write(wire.AppendQuery(wire.AppendStartup(nil, "app", "shop"), nil))
 	p.want(p.answer(), "RKZ")
 	p.want(p.answer(), "IZ")
-	if took := time.Since(began); took > 5*time.Second { // 10 s are allowed
+	if took := time.Since(began); took > readyWithin {
 		t.Errorf("ready after %v", took)
 	}
 	p.query(write)
