--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -228,3 +228,60 @@
 		}
 	}
 }
+
+// longestWithoutAttempt plays ten seconds of a router of 300 that has just
+// started on the list that it was given, which nobody brings up to date. Half
+// of the members have just been replaced, and some groups have another primary
+// than the list names. It returns the longest time in which every request was
+// turned away.
+func longestWithoutAttempt(t *testing.T, cfg Config, seed uint64) time.Duration {
+	const nGroups, every, took = 8, 50 * ms, 40 * ms
+	members := groups(nGroups)
+	leads := map[int]uint32{}
+	for i := range members {
+		if m := &members[i]; i%2 == 0 {
+			m.Started = time.Hour // now
+		}
+		if m := members[i]; m.Primary {
+			leads[m.Group] = m.ID + uint32(m.Group%2)
+		}
+	}
+	g := newSeededRig(t, cfg, members, seed)
+	lastAttempt, longest := g.now, time.Duration(0)
+	for n := range int(10 * time.Second / every) {
+		heard := len(g.sends)
+		g.next++
+		g.r.Arrived(g.now, Request{ID: g.next, Class: n % len(cfg.Classes), Group: n / len(cfg.Classes) % nGroups,
+			Session: uint64(n), TimeLeft: 2 * time.Second})
+		g.wait(took)
+		for ; heard < len(g.sends); heard++ { // what is sent for an answer is answered too
+			s := g.sends[heard]
+			lastAttempt = g.now
+			role, outcome := RoleReplica, OK
+			if leads[int(s.member-1)/3] == s.member {
+				role = RolePrimary
+			} else if class := cfg.Classes[(s.req-1)%uint64(len(cfg.Classes))]; class.Consistency == Write {
+				outcome = Miss
+			}
+			g.end(s, outcome, role, g.now)
+		}
+		g.wait(every - took)
+		longest = max(longest, g.now-lastAttempt)
+	}
+	return longest
+}
+
+// A router that has just started never turns away all that it gets for 4 s.
+func TestRestartedRouterNeverTurnsAllAway(t *testing.T) {
+	unchecked := testConfig()
+	unchecked.Routers = 300
+	probing := unchecked
+	probing.Probes = true
+	for name, cfg := range map[string]Config{"checking": checkingConfig(300), "unchecked": unchecked, "probing": probing} {
+		for seed := range uint64(20) {
+			if longest := longestWithoutAttempt(t, cfg, seed); longest >= 4*time.Second {
+				t.Errorf("%s, seed %d: no attempt for %v", name, seed, longest)
+			}
+		}
+	}
+}
