Give a connection's last answer its time to leave before it makes room or is closed

Found by reading every place that ends a client's connection for what it owes then. A statement, then something that ends the connection (Terminate, a message that is none, 53200): sendAnswers hands the last answer over and half-closes. (1) evictOne (closing.go) took a closing client for one that only takes its time to go and closed it hard, its answer unsent: lost. (2) awaitClose replaced the 5 s that answers have by the 1 s that a told client has to go: a client that reads slowly lost its answer.

Now such a client is not chosen while its answer is leaving, has writeTimeout for it, and closeTimeout begins when it has left. TestLastAnswerHasItsTimeToLeave fails with each of the three lines taken out. The tests' stuck client is made in one place.

--- a/internal/postgres/front/closing.go
+++ b/internal/postgres/front/closing.go
@@ -52,7 +52,7 @@
 		return true
 	}
 	s.clients.Each(func(_ slots.Ref, told *client) { // it takes its time to go
-		if told.closing && (c == nil || told.idleSince < c.idleSince) {
+		if told.closing && !told.sending && (c == nil || told.idleSince < c.idleSince) {
 			c = told
 		}
 	})
@@ -173,11 +173,17 @@
 	return true
 }
 
+// awaitClose has the connection closed if its client takes too long: to read its
+// last answers while these are leaving, then to go.
 func (c *client) awaitClose() {
 	loop := c.server.loop
 	c.closing = true
+	timeout := float64(closeTimeout)
+	if c.sending {
+		timeout = writeTimeout
+	}
 	loop.Cancel(c.closeBy)
-	c.closeBy = loop.At(loop.Now()+closeTimeout, c.conn.Close)
+	c.closeBy = loop.At(loop.Now()+timeout, c.conn.Close)
 }
 
 // drainIfIdle lets c go if the server drains and c owes nothing. What may have
--- a/internal/postgres/front/commands.go
+++ b/internal/postgres/front/commands.go
@@ -328,7 +328,10 @@
 	case err != nil:
 		c.disconnected()
 		return
-	case c.closing: // its time to go runs
+	case c.released:
+		return
+	case c.closing: // its time to go begins
+		c.awaitClose()
 		return
 	}
 	c.server.loop.Cancel(c.closeBy)
--- a/internal/postgres/front/commands_test.go
+++ b/internal/postgres/front/commands_test.go
@@ -392,12 +392,37 @@
 	return nil
 }
 
+// stuckClient is a client that reads nothing, with so many statements under way.
+func (d *stubRouter) stuckClient(statements int) (*client, *stuckConn) {
+	stuck := &stuckConn{readAhead: readAhead{in: netpoll.NewLinkBuffer()}, closed: make(chan struct{})}
+	c := &client{server: d.server, conn: netio.NewConn(stuck), greeted: true}
+	d.loop.Do(func() {
+		d.server.budget.TakeClient()
+		c.ref = d.server.clients.Add(c)
+		for n := range statements {
+			if err := c.receive(wire.Query, read(n)[wire.HeaderLen:]); err != nil {
+				d.t.Fatal(err)
+			}
+		}
+	})
+	return c, stuck
+}
+
+// isClosed tells whether the connection has ended.
+func (s *stuckConn) isClosed() bool {
+	select {
+	case <-s.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // A client that goes on sending after it broke the protocol is cut off, but not
 // before the answer to what came before is with the system.
 func TestFloodBehindTheEndDoesNotTakeTheAnswer(t *testing.T) {
 	d := newStub(t, 100)
-	stuck := &stuckConn{readAhead: readAhead{in: netpoll.NewLinkBuffer()}, closed: make(chan struct{})}
-	c := &client{server: d.server, conn: netio.NewConn(stuck), greeted: true}
+	c, stuck := d.stuckClient(1)
 	flood := func() {
 		if _, err := stuck.in.WriteString(strings.Repeat("x", maxDiscarded+1)); err != nil {
 			t.Fatal(err)
@@ -407,21 +432,14 @@
 		}
 	}
 	d.loop.Do(func() {
-		d.server.budget.TakeClient()
-		c.ref = d.server.clients.Add(c)
-		if err := c.receive(wire.Query, read(1)[wire.HeaderLen:]); err != nil {
-			t.Fatal(err)
-		}
 		c.discarding = true
 		c.receiveEnd(errPartial)
 	})
 	flood()
 	d.answer(0) // and it is being written
 	flood()
-	select {
-	case <-stuck.closed:
+	if stuck.isClosed() {
 		t.Error("cut off before its answer has left")
-	default:
 	}
 	d.loop.Do(func() {
 		if !c.closing || !c.sending {
@@ -437,16 +455,7 @@
 // its connection, the next one waits, and what it has under way lapses.
 func TestClientThatReadsNothingIsCutOff(t *testing.T) {
 	d := newStub(t, 100)
-	c := &client{server: d.server, conn: netio.NewConn(&stuckConn{closed: make(chan struct{})}), greeted: true}
-	d.loop.Do(func() {
-		d.server.budget.TakeClient()
-		c.ref = d.server.clients.Add(c)
-		for n := range 3 {
-			if err := c.receive(wire.Query, read(n)[wire.HeaderLen:]); err != nil {
-				t.Fatal(err)
-			}
-		}
-	})
+	c, _ := d.stuckClient(3)
 	d.answer(0)
 	d.answer(1)
 	d.loop.Do(func() {
@@ -457,3 +466,33 @@
 	d.pass(writeTimeout)
 	d.until(func() bool { return d.only() == nil && d.held() == 0 && d.lapsed == 1 })
 }
+
+// The last answer of a connection that ends behind it has the same time to leave
+// as any other, and its client that to go once it has left. Until then the
+// connection makes room for nobody.
+func TestLastAnswerHasItsTimeToLeave(t *testing.T) {
+	d := newStub(t, 100)
+	c, stuck := d.stuckClient(1)
+	d.loop.Do(func() { c.receiveEnd(errPartial) })
+	d.answer(0)
+	endsIn := func(want float64) { // the one deadline that there is
+		t.Helper()
+		if at, _ := d.loop.Next(); at != d.clock.Now()+want {
+			t.Errorf("ends in %v ms, want %v", at-d.clock.Now(), want)
+		}
+	}
+	endsIn(writeTimeout)
+	d.loop.Do(func() {
+		if !c.closing || !c.sending {
+			t.Fatalf("closing %v, sending %v", c.closing, c.sending)
+		}
+		if d.server.evictOne() {
+			t.Error("it makes room for another before its answer has left")
+		}
+	})
+	d.pass(writeTimeout - 1)
+	d.loop.Do(func() { c.sent(nil) })
+	endsIn(closeTimeout)
+	d.pass(closeTimeout)
+	d.until(stuck.isClosed)
+}
