--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -12,6 +12,9 @@
 type Client struct {
 	Conn net.Conn
 	In   *bufio.Reader
+	// Refusal is the SQLSTATE with which the router has answered the connection
+	// itself, "" if it has not. It is the answer to a first query too.
+	Refusal string
 }
 
 // Reply is a router's whole answer to one query.
@@ -34,10 +37,12 @@
 		c.Close()
 		return nil, err
 	}
-	if reply := c.Receive(time.Second); reply.Err != nil {
+	reply := c.Receive(time.Second)
+	if reply.Err != nil {
 		c.Close()
 		return nil, reply.Err
 	}
+	c.Refusal = reply.Code
 	return c, nil
 }
 
@@ -52,6 +57,9 @@
 
 // Query sends a query and waits for its answer.
 func (c *Client) Query(text string, timeout time.Duration) Reply {
+	if c.Refusal != "" {
+		return Reply{Code: c.Refusal}
+	}
 	if err := c.Send(text); err != nil {
 		return Reply{Err: err}
 	}
