Stop reading ahead of the memory budget: unfinished commands no longer exceed it

Cause: netpoll's poller reads and accepts on while callbacks and closings have yet to run. Ruled out: connections in their graceful close held 1 MiB of the buffers. Change: netio.ReadGate makes the poller wait for the callback of each read and for closings; the front takes all bytes in each callback and assembles messages in buffers of exact length that are reserved first.

--- /dev/null
+++ b/cmd/lotusbend/memory_test.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"lotusbend/internal/postgres/wire"
+)
+
+// memoryProgram is a router process with a limit on its memory.
+type memoryProgram struct {
+	t       *testing.T
+	command *exec.Cmd
+	address string // where it serves clients
+	limit   int    // MiB
+}
+
+// startMemoryProgram starts a router with limits on memory, in MiB, and descriptors.
+func startMemoryProgram(t *testing.T, memoryMiB, descriptors int) *memoryProgram {
+	t.Helper()
+	if raceEnabled {
+		t.Skip("the race detector's own memory would be counted; the plain run has this test")
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := configuration(listen(t), descriptors)
+	text = bytes.Replace(text, []byte(`"limits":{`), fmt.Appendf(nil, `"limits":{"memory_mb":%d,`, memoryMiB), 1)
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	program := &memoryProgram{t: t, command: exec.Command(os.Args[0]), limit: memoryMiB}
+	lines := bufio.NewScanner(startWithLog(t, program.command, "GW_CONFIG="+path))
+	t.Cleanup(func() { _ = program.command.Process.Kill() }) // fails if it has ended
+	for program.address == "" && lines.Scan() {
+		for _, field := range strings.Fields(lines.Text()) {
+			if address, found := strings.CutPrefix(field, "listen="); found {
+				program.address = address
+			}
+		}
+	}
+	if program.address == "" {
+		t.Fatal("the program ended before it served clients")
+	}
+	go func() { // the program must not block on its log
+		for lines.Scan() {
+		}
+	}()
+	return program
+}
+
+// residentMiB returns the anonymous memory of the process in MiB, 0 if it has ended.
+func (program *memoryProgram) residentMiB() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", program.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, after, _ := strings.Cut(string(status), "RssAnon:")
+	number, _, _ := strings.Cut(strings.TrimSpace(after), " ")
+	kib, _ := strconv.Atoi(number)
+	return kib >> 10
+}
+
+// flood lets clients connect, send message, read until the router closes the
+// connection, and begin again, until the time is over. It returns the most memory
+// that the router had, in MiB; it ends early once that is over the limit.
+func (program *memoryProgram) flood(clients int, message func() []byte, lasts time.Duration) (mostMiB int) {
+	until := time.Now().Add(lasts)
+	stopped := make(chan struct{})
+	var running sync.WaitGroup
+	for range clients {
+		running.Go(func() {
+			for {
+				select {
+				case <-stopped:
+					return
+				default:
+					sendAndRead(program.address, message())
+				}
+			}
+		})
+	}
+	for time.Now().Before(until) && mostMiB <= program.limit {
+		mostMiB = max(mostMiB, program.residentMiB())
+		time.Sleep(5 * time.Millisecond)
+	}
+	close(stopped)
+	running.Wait()
+	return mostMiB
+}
+
+// sendAndRead sends a message on a new connection and reads until its end, for a
+// second at most.
+func sendAndRead(address string, message []byte) {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(time.Second))
+	_, err = conn.Write(message)
+	buffer := make([]byte, 4096)
+	for err == nil {
+		_, err = conn.Read(buffer)
+	}
+}
+
+// Clients that send most of a long command at full speed must not drive the router
+// over its memory limit, past which the platform kills it: netpoll must not read
+// ahead of the memory budget, and a closed connection must not keep its buffers.
+func TestUnfinishedCommandsStayWithinMemoryLimit(t *testing.T) {
+	startup := wire.AppendStartup(nil, "app", "shop")
+	for _, flood := range []struct {
+		name                                        string
+		memoryMiB, descriptors, clients, valueBytes int
+	}{
+		{"long commands", 48, 512, 310, 130000},
+	} {
+		t.Run(flood.name, func(t *testing.T) {
+			program := startMemoryProgram(t, flood.memoryMiB, flood.descriptors)
+			query := wire.AppendQuery(startup, bytes.Repeat([]byte("9f"), flood.valueBytes))
+			unfinished := query[:len(query)-10]
+			most := program.flood(flood.clients, func() []byte { return unfinished }, 3*time.Second)
+			if most > flood.memoryMiB {
+				t.Errorf("the router used %d MiB, want at most %d", most, flood.memoryMiB)
+			}
+			sendAndRead(program.address, startup) // it still accepts connections
+			if err := program.command.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Error(err)
+			}
+			if err := program.command.Wait(); err != nil {
+				t.Errorf("the router ended with %v, want success", err)
+			}
+		})
+	}
+}
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -205,7 +205,11 @@
 func (c *Conn) abort() {
 	c.halfClose()
 	c.closed = true
-	go func() { _ = c.nc.Close() }()
+	closings.begin()
+	go func() {
+		defer closings.end()
+		_ = c.nc.Close()
+	}()
 }
 
 // Finishing reports whether the connection accepts no more bytes, because it is
--- /dev/null
+++ b/internal/netio/readgate_test.go
@@ -0,0 +1,126 @@
+package netio
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// serveGated serves connections with a ReadGate on loopback and returns the address.
+func serveGated(t *testing.T, onRequest netpoll.OnRequest) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	events, err := netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(
+		func(nc netpoll.Connection) context.Context {
+			gate := NewReadGate()
+			_ = nc.AddCloseCallback(func(netpoll.Connection) error {
+				gate.ConnectionClosed()
+				return nil
+			})
+			return WithReadGate(context.Background(), gate)
+		}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = events.Serve(listener) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = events.Shutdown(ctx)
+	})
+	return listener.Addr().String()
+}
+
+func dialTCP(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// While a callback has yet to account for the bytes of a read, the poller must not
+// read more: the memory of a fast peer's bytes would grow without a bound.
+func TestReadGateStopsReadingWhileCallbackRuns(t *testing.T) {
+	const maxReadBytes = 8 << 10 // netpoll's read buffer
+	entered := make(chan netpoll.Connection)
+	proceed := make(chan struct{})
+	address := serveGated(t, func(_ context.Context, nc netpoll.Connection) error {
+		in := nc.Reader()
+		select {
+		case entered <- nc:
+			<-proceed
+		default: // only the first callback waits for the test
+		}
+		return errors.Join(in.Skip(in.Len()), in.Release())
+	})
+	conn := dialTCP(t, address)
+	sent := make(chan error, 1)
+	go func() {
+		_ = conn.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+		_, err := conn.Write(make([]byte, 64<<20))
+		sent <- err
+	}()
+	nc := <-entered
+	if err := <-sent; !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("64 MiB were sent with %v while the callback ran, want a timeout", err)
+	}
+	if n := nc.Reader().Len(); n > maxReadBytes {
+		t.Errorf("%d bytes were read while the callback ran, want at most %d", n, maxReadBytes)
+	}
+	close(proceed)
+}
+
+// A callback that closes its connection waits in netpoll for the poller, which must
+// not wait for it at the same time.
+func TestReadGateCallbackMayCloseConnection(t *testing.T) {
+	address := serveGated(t, func(_ context.Context, nc netpoll.Connection) error { return nc.Close() })
+	for range 200 {
+		conn := dialTCP(t, address)
+		if _, err := conn.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal("the connection was not closed in 10 s: the poller waits for the callback")
+		}
+		_ = conn.Close()
+	}
+}
+
+// Closings must not fall behind: the poller accepts no connection while another is
+// being closed. Without that, connections that close at once hold their memory
+// until their goroutines have run.
+func TestReadGateWaitsForClosings(t *testing.T) {
+	address := serveGated(t, func(_ context.Context, nc netpoll.Connection) error {
+		in := nc.Reader()
+		_, err := nc.Write([]byte("x"))
+		return errors.Join(err, in.Skip(in.Len()), in.Release())
+	})
+	closings.begin()
+	conn := dialTCP(t, address)
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	answer := make([]byte, 1)
+	_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := io.ReadFull(conn, answer); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read = %v while a connection was being closed, want no answer", err)
+	}
+	closings.end()
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.ReadFull(conn, answer); err != nil {
+		t.Errorf("read = %v after the close, want an answer", err)
+	}
+}
--- a/internal/postgres/front/client.go
+++ b/internal/postgres/front/client.go
@@ -8,9 +8,8 @@
 	"lotusbend/internal/slotmap"
 )
 
-// client is one client connection. The fields of the first group are accessed
-// inside the loop's Do, the others by the connection's own callbacks, which
-// never run concurrently.
+// client is one client connection. Its fields are accessed inside the loop's Do,
+// except for rejection, which is set before the connection is registered.
 type client struct {
 	handle      slotmap.Handle
 	secret      uint32 // a CancelRequest for this connection must contain it
@@ -28,12 +27,14 @@
 	idleTimer   *clock.Deadline // runs checkIdle
 	closeTimer  *clock.Deadline // closes the connection if answers or the close take too long
 	queue       pipeline.Queue[*statement]
-	unreadBytes int // reserved in server.unreadMemory
+	unfinished  []byte // the received part of an incomplete message
+	unreadBytes int    // reserved in server.unreadMemory
 
-	rejection      []byte // ErrorResponse to a rejected client, nil for any other
-	discarding     bool   // further input is dropped without being parsed
-	discardedBytes int
 	started        bool // the startup message was processed
+	discarding     bool // further input is dropped without being parsed
+	discardedBytes int
+	rejection      []byte          // ErrorResponse to a rejected client, nil for any other
+	gate           *netio.ReadGate // keeps netpoll from reading ahead
 }
 
 // reject marks a connection that gets no slot and prepares its error message.
@@ -49,11 +50,10 @@
 // kernel has not accepted all answers that were sent.
 func (c *client) busy() bool { return c.queue.Len() > 0 || c.sending }
 
-// reserveUnread sets the reservation for unparsed input to n bytes: the contents
-// of the read buffer, or the full length of an incomplete message. It reports
-// whether the connection may go on within the memory budget. netpoll keeps
-// reading into the buffer even if nothing is parsed, so a client that exceeds the
-// budget must be disconnected.
+// reserveUnread sets the reservation for unparsed input to n bytes: the capacity
+// of unfinished, and what netpoll has read beyond its buffer. It reports whether
+// the connection may go on within the memory budget; if not, the caller must end it
+// and drop the input.
 func (c *client) reserveUnread(n int) bool {
 	if c.released {
 		return true
--- a/internal/postgres/front/closing.go
+++ b/internal/postgres/front/closing.go
@@ -48,7 +48,7 @@
 // halfCloseIfQuiet half-closes the connection unless received bytes are unread.
 // It reports whether it did.
 func (c *client) halfCloseIfQuiet() bool {
-	if !c.conn.FinishIfQuiet() {
+	if c.partial || !c.conn.FinishIfQuiet() {
 		return false
 	}
 	c.awaitClose()
@@ -60,6 +60,7 @@
 func (c *client) awaitClose() {
 	loop := c.server.loop
 	c.closing = true
+	c.dropUnfinished()
 	timeout := float64(closeTimeoutMs)
 	if c.sending {
 		timeout = writeTimeoutMs
@@ -74,7 +75,7 @@
 	if c.released {
 		return
 	}
-	c.reserveUnread(0)
+	c.dropUnfinished()
 	c.released = true
 	c.closing = true
 	c.server.loop.Cancel(c.idleTimer)
--- a/internal/postgres/front/eviction.go
+++ b/internal/postgres/front/eviction.go
@@ -29,7 +29,7 @@
 	evicted := s.longestIdle(func(c *client) bool { return !c.active })
 	if evicted == nil {
 		evicted = s.longestIdle(func(c *client) bool {
-			return s.loop.Now() >= c.idleSince+partialTimeoutMs && c.conn.Quiet()
+			return s.loop.Now() >= c.idleSince+partialTimeoutMs && !c.partial && c.conn.Quiet()
 		})
 	}
 	if evicted != nil {
--- a/internal/postgres/front/front.go
+++ b/internal/postgres/front/front.go
@@ -2,8 +2,9 @@
 // their statements into requests to the router, and the router's answers into
 // protocol messages.
 //
-// Each connection is read in its own goroutine (input.go); all other code, except
-// where it says otherwise, runs inside the event loop's Do. The commands of a
+// netpoll calls back for each read of a connection (input.go), whose bytes are
+// assembled into messages (message.go). All code, except where it says otherwise,
+// runs inside the event loop's Do. The commands of a
 // connection are queued (commands.go): statements that do not conflict run
 // concurrently, and their answers are sent in the order of the commands
 // (statement.go, answers.go).
@@ -152,7 +153,12 @@
 // accepted allocates a slot for a new connection, or marks it as rejected. netpoll
 // calls it, outside Do.
 func (s *Server) accepted(nc netpoll.Connection) context.Context {
-	c := &client{server: s, conn: netio.NewConn(nc), secret: rand.Uint32()}
+	c := &client{
+		server: s,
+		conn:   netio.NewConn(nc),
+		secret: rand.Uint32(),
+		gate:   netio.NewReadGate(),
+	}
 	s.loop.Do(func() {
 		switch {
 		case s.draining:
@@ -166,10 +172,11 @@
 		c.beginIdle()
 	})
 	_ = nc.AddCloseCallback(func(netpoll.Connection) error { // never fails
+		c.gate.ConnectionClosed()
 		s.loop.Do(c.disconnected)
 		return nil
 	})
-	return context.WithValue(context.Background(), contextKey{}, c)
+	return context.WithValue(netio.WithReadGate(context.Background(), c.gate), contextKey{}, c)
 }
 
 // connected ends a connection that was rejected, and does nothing for any other.
--- a/internal/postgres/front/input.go
+++ b/internal/postgres/front/input.go
@@ -8,15 +8,10 @@
 	"lotusbend/internal/postgres/wire"
 )
 
-const (
-	// maxDiscardedBytes is how many bytes a client may send after the half-close
-	// or after a protocol error before its connection is closed. Bytes that arrive
-	// while answers to it are pending are not counted.
-	maxDiscardedBytes = 64 << 10
-	// smallMessageBytes is the largest amount of unparsed input that a client may
-	// have even if the memory budget is exceeded.
-	smallMessageBytes = 8 << 10
-)
+// maxDiscardedBytes is how many bytes a client may send after the half-close or
+// after a protocol error before its connection is closed. Bytes that arrive while
+// answers to it are pending are not counted.
+const maxDiscardedBytes = 64 << 10
 
 // Errors that end a connection. Except for errTerminate, their texts are sent to
 // the client.
@@ -27,76 +22,79 @@
 	errUnsupportedVersion = errors.New("unsupported protocol version")
 )
 
-// onData processes received messages. It runs in the connection's own goroutine
-// and blocks while a message is incomplete.
+// onData processes received bytes. netpoll calls it, outside Do, and reads no
+// further bytes of the connection until it returns (netio.ReadGate). The bytes are
+// taken from the read buffer and processed inside a single Do, so that code that
+// decides whether the connection is idle sees them in the buffer, in c.unfinished
+// or as a queued command.
 func (c *client) onData(nc netpoll.Connection) error {
 	in := nc.Reader()
-	for in.Len() > 0 {
-		if c.discarding || c.conn.Finishing() {
-			return c.discard(nc)
-		}
-		read := c.readMessage
-		if !c.started {
-			read = c.readStartup
-		}
-		if err := read(in); err != nil { // earlier commands are still answered first
-			c.server.loop.Do(func() {
-				c.discarding = true
-				c.receiveError(err)
-			})
-			continue
-		}
-		if err := in.Release(); err != nil {
-			return nc.Close()
+	keep := true
+	var err error
+	c.server.loop.Do(func() {
+		var data []byte
+		if data, err = in.Next(in.Len()); err == nil {
+			keep = c.receiveBytes(data)
 		}
+	})
+	if err != nil || !keep {
+		return nc.Close()
 	}
-	return nil
+	return in.Release()
 }
 
-// discard drops received bytes; only the client's close is still awaited. If the
-// client keeps sending after the kernel has accepted all its answers, the
-// connection is closed.
-func (c *client) discard(nc netpoll.Connection) error {
-	in := nc.Reader()
-	n := in.Len()
-	busy := false
-	c.server.loop.Do(func() {
-		c.reserveUnread(0)
-		busy = c.busy()
-	})
-	if !busy {
-		c.discardedBytes += n
+// receiveBytes processes the complete messages in data and keeps the beginning of
+// an incomplete one. It returns false if the connection must be closed at once.
+func (c *client) receiveBytes(data []byte) (keep bool) {
+	if excess := len(data) - readBufferBytes; excess > 0 && !c.reserveUnread(cap(c.unfinished)+excess) {
+		c.stopReading(errOutOfMemory)
 	}
-	if c.discardedBytes > maxDiscardedBytes {
-		c.conn.Close()
-		return nc.Close()
+	for len(data) > 0 && !c.discarding && !c.conn.Finishing() {
+		message, rest, err := c.nextMessage(data)
+		if err == nil && message != nil {
+			err = c.receiveMessage(message)
+		}
+		if err != nil { // earlier commands are still answered first
+			c.stopReading(err)
+		}
+		data = rest
 	}
-	_ = in.Skip(n)
-	return in.Release()
+	if c.discarding || c.conn.Finishing() {
+		c.dropUnfinished()
+		return c.discard(len(data))
+	}
+	c.reserveUnread(cap(c.unfinished))
+	c.setPartial(len(c.unfinished) > 0)
+	return true
+}
+
+// stopReading queues the error that ends the reading from the client.
+func (c *client) stopReading(err error) {
+	c.discarding = true
+	c.dropUnfinished()
+	c.receiveError(err)
 }
 
-// awaitBytes blocks until n bytes have arrived and returns them without removing
-// them from the buffer. While it blocks, the client is marked as partial.
-func (c *client) awaitBytes(in netpoll.Reader, n int) ([]byte, error) {
-	if in.Len() >= n {
-		return in.Peek(n)
+// discard counts n bytes that are dropped without being parsed; only the client's
+// close is still awaited. It returns false, which closes the connection, if the
+// client keeps sending after the kernel has accepted all its answers.
+func (c *client) discard(n int) (keep bool) {
+	if !c.busy() {
+		c.discardedBytes += n
 	}
-	fits := true
-	c.server.loop.Do(func() {
-		fits = c.reserveUnread(n)
-		c.setPartial(true)
-	})
-	if !fits {
-		return nil, errOutOfMemory
+	if c.discardedBytes <= maxDiscardedBytes {
+		return true
 	}
-	b, err := in.Peek(n)
-	c.server.loop.Do(func() { c.setPartial(false) })
-	return b, err
+	c.conn.Close()
+	return false
 }
 
 // setPartial records whether the last message received is incomplete. Either
 // change restarts the idle time of a client without pending commands.
 func (c *client) setPartial(partial bool) {
+	if !partial && !c.partial {
+		return
+	}
 	c.partial = partial
 	if !c.busy() && !c.released {
 		c.beginIdle()
@@ -104,39 +102,30 @@
 	}
 }
 
-// readStartup processes one message of the startup phase: an SSLRequest, a
-// GSSENCRequest, a CancelRequest or a StartupMessage.
-func (c *client) readStartup(in netpoll.Reader) error {
-	head, err := c.awaitBytes(in, wire.StartupHeaderLen)
-	if err != nil {
-		return err
+// receiveMessage processes one complete message.
+func (c *client) receiveMessage(message []byte) error {
+	if !c.started {
+		return c.receiveStartup(message[wire.StartupHeaderLen:])
 	}
-	n, err := wire.ParseStartupHeader(head)
-	if err != nil {
-		return err
-	}
-	if _, err = c.awaitBytes(in, wire.StartupHeaderLen+n); err != nil {
-		return err
-	}
-	message, err := in.Next(wire.StartupHeaderLen + n)
-	if err != nil {
-		return err
-	}
-	body := message[wire.StartupHeaderLen:]
+	return c.receive(message[0], message[wire.HeaderLen:])
+}
+
+// receiveStartup processes the body of one message of the startup phase: an
+// SSLRequest, a GSSENCRequest, a CancelRequest or a StartupMessage.
+func (c *client) receiveStartup(body []byte) error {
 	switch code := wire.StartupCode(body); {
 	case code == wire.SSLRequest, code == wire.GSSENCRequest:
 		c.conn.Send([]byte{'N'}, nil) // the connection stays unencrypted
 		return nil
 	case code == wire.CancelRequest:
 		if process, secret, ok := wire.ParseCancelRequest(body); ok {
-			c.server.loop.Do(func() { c.server.cancel(process, secret) })
+			c.server.cancel(process, secret)
 		}
 		return errTerminate
 	case code>>16 != wire.ProtocolVersion3>>16:
 		return errUnsupportedVersion
 	}
 	c.started = true
-	c.server.loop.Do(func() { c.reserveUnread(in.Len()) })
 	c.conn.Send(c.startupAnswer(), nil)
 	return nil
 }
@@ -156,32 +145,3 @@
 	}
 	return wire.AppendReadyForQuery(wire.AppendBackendKeyData(b, c.handle.Slot, c.secret))
 }
-
-// readMessage processes one message after the startup. It removes the message
-// from the buffer and queues it inside a single Do, so that code that decides
-// whether the connection is idle sees it either in the buffer or in the queue.
-func (c *client) readMessage(in netpoll.Reader) error {
-	head, err := c.awaitBytes(in, wire.HeaderLen)
-	if err != nil {
-		return err
-	}
-	kind, n, err := wire.ParseHeader(head)
-	if err != nil {
-		return err
-	}
-	if _, err = c.awaitBytes(in, wire.HeaderLen+n); err != nil {
-		return err
-	}
-	c.server.loop.Do(func() {
-		var message []byte
-		message, err = in.Next(wire.HeaderLen + n)
-		if err != nil {
-			return
-		}
-		err = c.receive(kind, message[wire.HeaderLen:])
-		if err == nil && !c.reserveUnread(in.Len()) {
-			err = errOutOfMemory
-		}
-	})
-	return err
-}
