Reject a client's first long statement past the memory budget

Seen by callers: 310 clients with one valid command of 260 KB each drove a router of 48 MB over its limit within 0.2 s; the platform kills it. Cause: receiveStatement accepted the first statement of every connection whatever its length, also with the budget for queued statements used up: up to 80 MB for 310 clients. Change: only a first statement of up to 8 KiB needs no room in the budget; a longer one that does not fit is rejected with 53300, which its client may repeat. Measured: TestLongStatementsOfManyClientsStayWithinMemoryLimit failed before (49 MiB of 48) and passes; TestLongStatementsOfManyClientsAreBounded failed before and passes.

--- a/cmd/lotusbend/memory_test.go
+++ b/cmd/lotusbend/memory_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -114,32 +115,47 @@
 	}
 }
 
-// Clients that send most of a long command at full speed must not drive the router
-// over its memory limit, past which the platform kills it: netpoll must not read
-// ahead of the memory budget, and a closed connection must not keep its buffers.
-func TestUnfinishedCommandsStayWithinMemoryLimit(t *testing.T) {
-	startup := wire.AppendStartup(nil, "app", "shop")
-	for _, flood := range []struct {
-		name                                        string
-		memoryMiB, descriptors, clients, valueBytes int
-	}{
-		{"long commands", 48, 512, 310, 130000},
-	} {
-		t.Run(flood.name, func(t *testing.T) {
-			program := startMemoryProgram(t, flood.memoryMiB, flood.descriptors)
-			query := wire.AppendQuery(startup, bytes.Repeat([]byte("9f"), flood.valueBytes))
-			unfinished := query[:len(query)-10]
-			most := program.flood(flood.clients, func() []byte { return unfinished }, 3*time.Second)
-			if most > flood.memoryMiB {
-				t.Errorf("the router used %d MiB, want at most %d", most, flood.memoryMiB)
-			}
-			sendAndRead(program.address, startup) // it still accepts connections
-			if err := program.command.Process.Signal(syscall.SIGTERM); err != nil {
-				t.Error(err)
-			}
-			if err := program.command.Wait(); err != nil {
-				t.Errorf("the router ended with %v, want success", err)
-			}
-		})
+// longCommand returns a startup message and a write with a value of 130,000 bytes.
+// Each call numbers its statement anew.
+func longCommand(number *atomic.Int64) []byte {
+	n := number.Add(1)
+	statement := fmt.Appendf(nil, `INSERT INTO items (id, doc) VALUES ('7f3a', '\x%s') RETURNING doc `+
+		`/* id=%d,c=write,d=2000,k=%d,cluster=1 */`, bytes.Repeat([]byte("9f"), 130000), n, n)
+	return wire.AppendQuery(wire.AppendStartup(nil, "app", "shop"), statement)
+}
+
+// checkFlood lets 310 clients send messages at full speed to a router with 48 MiB.
+// The router must stay within its limit, past which the platform kills it, and must
+// still end gracefully.
+func checkFlood(t *testing.T, message func() []byte) {
+	t.Helper()
+	const memoryMiB, descriptors, clients = 48, 512, 310
+	program := startMemoryProgram(t, memoryMiB, descriptors)
+	if most := program.flood(clients, message, 3*time.Second); most > memoryMiB {
+		t.Errorf("the router used %d MiB, want at most %d", most, memoryMiB)
 	}
+	if err := program.command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Error(err)
+	}
+	if err := program.command.Wait(); err != nil {
+		t.Errorf("the router ended with %v, want success", err)
+	}
+}
+
+// Clients that send most of a long command must not drive the router over its
+// memory limit: netpoll must not read ahead of the memory budget, and a closed
+// connection must not keep its buffers.
+func TestUnfinishedCommandsStayWithinMemoryLimit(t *testing.T) {
+	var number atomic.Int64
+	checkFlood(t, func() []byte {
+		command := longCommand(&number)
+		return command[:len(command)-10]
+	})
+}
+
+// Clients that each send one long statement must not drive the router over its
+// memory limit: what a connection may always have is a short statement.
+func TestLongStatementsOfManyClientsStayWithinMemoryLimit(t *testing.T) {
+	var number atomic.Int64
+	checkFlood(t, func() []byte { return longCommand(&number) })
 }
--- a/internal/postgres/front/commands.go
+++ b/internal/postgres/front/commands.go
@@ -59,14 +59,14 @@
 
 // receiveStatement parses and queues a statement. If the memory budget is
 // exhausted, it queues an error in its place, except that each connection may
-// always have one statement.
+// always have one statement of up to smallMessageBytes.
 func (c *client) receiveStatement(text []byte) error {
 	if !c.active {
 		c.active = true
 		c.server.activeClients++
 	}
 	size := commandOverheadBytes + len(text)
-	if c.queue.Len() > 0 && !c.server.queuedMemory.Fits(size) {
+	if !c.server.queuedMemory.Fits(size) && (c.queue.Len() > 0 || len(text) > smallMessageBytes) {
 		c.rejectStatement()
 		return nil
 	}
--- a/internal/postgres/front/memory_test.go
+++ b/internal/postgres/front/memory_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 
@@ -131,6 +132,31 @@
 	}
 }
 
+// TestLongStatementsOfManyClientsAreBounded checks that clients that each send one
+// long statement cannot exceed the memory budget: those past it are rejected, while
+// a short statement is always accepted.
+func TestLongStatementsOfManyClientsAreBounded(t *testing.T) {
+	const valueBytes = 100 << 10
+	stub := newStub(t, 100)
+	budget := testMemoryMiB * (1 << 20) / 5
+	fitting := budget / (2 * valueBytes) // a byte of the value takes two characters
+	for n := range fitting {
+		stub.connect().write(largeQuery(n, valueBytes))
+		stub.waitSubmitted(n + 1)
+	}
+	remote := stub.connect()
+	remote.write(largeQuery(fitting, valueBytes))
+	_ = remote.conn.SetReadDeadline(time.Now().Add(10 * time.Second)) // an accepted one is not answered
+	remote.expect(remote.readUntil("Z"), "53300")
+	remote.write(writeQuery(fitting + 1))
+	stub.waitSubmitted(fitting + 1)
+	stub.loop.Do(func() {
+		if used := stub.server.queuedMemory.Used(); used > budget {
+			t.Errorf("%d bytes reserved for statements, want at most %d", used, budget)
+		}
+	})
+}
+
 // TestFloodOfMessagesEndsConnection checks that a flood of messages whose answers
 // cannot be merged ends the connection once the memory budget is exhausted, after
 // the answers to earlier statements.
