Do not join CoAP blocks of an abandoned message to the next one

Cause: beginTransfer took any first block for a repetition of the only one received. The same came about by two more ways, found by a test of all orders of delivery: a delayed later block of the abandoned message joins the new one, and a delayed first block is continued by the new one's. Change: a first block begins a new message unless it repeats the only one received; a further block must contain an Echo value created after its message began, else it is answered with 4.01, or with 4.08 if the first block was delayed behind a later one. Why it works: every response contains a new Echo value, so a device sends a value of its own message, and no block sent before that message can have one.

--- a/internal/edge/coap/fixture_test.go
+++ b/internal/edge/coap/fixture_test.go
@@ -37,10 +37,7 @@
 }
 
 func (client *testClient) Send(to netip.AddrPort, b []byte) {
-	m := &message.Message{Options: make(message.Options, 0, maxOptions)}
-	if _, err := coder.DefaultCoder.Decode(b, m); err != nil {
-		client.t.Fatalf("the server sent %x: %v", b, err)
-	}
+	m := client.decode(b)
 	client.sent = append(client.sent, m)
 	client.datagrams = append(client.datagrams, b)
 	client.destinations = append(client.destinations, to)
@@ -89,14 +86,33 @@
 	return m
 }
 
+// decode decodes a datagram of the server.
+func (client *testClient) decode(b []byte) *message.Message {
+	m := &message.Message{Options: make(message.Options, 0, maxOptions)}
+	if _, err := coder.DefaultCoder.Decode(b, m); err != nil {
+		client.t.Fatalf("the server sent %x: %v", b, err)
+	}
+	return m
+}
+
 // post encodes a POST with the next message ID. It adds no Echo value.
 func (client *testClient) post(kind message.Type, payload string, more ...message.Option) []byte {
+	return client.encode(kind, []byte{7, 7}, payload, more...)
+}
+
+// postWithToken encodes a confirmable POST with the next message ID and a token.
+func (client *testClient) postWithToken(token []byte, payload string, more ...message.Option) []byte {
+	return client.encode(message.Confirmable, token, payload, more...)
+}
+
+// encode encodes a POST with the next message ID.
+func (client *testClient) encode(kind message.Type, token []byte, payload string, more ...message.Option) []byte {
 	client.lastMessageID++
 	m := message.Message{
 		Type:      kind,
 		Code:      codes.POST,
 		MessageID: client.lastMessageID,
-		Token:     []byte{7, 7},
+		Token:     token,
 		Payload:   []byte(payload),
 	}
 	m.Options = append(m.Options, message.Option{ID: message.URIPath, Value: []byte("readings")})
--- a/internal/edge/coap/request.go
+++ b/internal/edge/coap/request.go
@@ -42,13 +42,13 @@
 		s.handleRead(now, exchange, path)
 		return
 	}
-	payload, code := s.payload(now, exchange, path, received)
+	body, code := s.messageBody(now, exchange, path, received, sentAfter)
 	if code != noError {
 		s.respond(now, exchange, code, nil, 0)
 		return
 	}
 	s.registerPending(now, exchange)
-	s.actions.Deliver(exchange.token, id.peer, path, append([]byte(nil), payload...), sentAfter)
+	s.actions.Deliver(exchange.token, id.peer, path, append([]byte(nil), body.payload...), body.sentAfter)
 }
 
 // handleDuplicate repeats the acknowledgement or response to the first copy of a
@@ -87,20 +87,25 @@
 	s.actions.Read(exchange.token, exchange.id.peer, path[:slash], path[slash+1:])
 }
 
-// payload returns the complete payload of the request, or the code to respond
-// with if the request is too long or a block of an incomplete message.
-func (s *Server) payload(
-	now float64, exchange *requestExchange, path string, received *message.Message,
-) (payload []byte, code codes.Code) {
-	block1, err := received.Options.GetUint32(message.Block1)
+// messageBody returns the complete payload of the request, or the code to respond
+// with if the request is too long or a block of an incomplete message. sentAfter is
+// when the request's Echo value was created.
+func (s *Server) messageBody(
+	now float64, exchange *requestExchange, path string, received *message.Message, sentAfter float64,
+) (body messageBody, code codes.Code) {
+	option, err := received.Options.GetUint32(message.Block1)
 	if err == nil {
-		exchange.block1 = int64(block1)
-		return s.handleBlock(now, exchange.id, path, received, block1)
+		exchange.block1 = int64(option)
+		b, code := newRequestBlock(option, received.Payload, sentAfter)
+		if code != noError {
+			return messageBody{}, code
+		}
+		return s.handleBlock(now, transferKey(exchange.id, path, received), b)
 	}
 	if len(received.Payload) > s.limits.MessageBytes {
-		return nil, codes.RequestEntityTooLarge
+		return messageBody{}, codes.RequestEntityTooLarge
 	}
-	return received.Payload, noError
+	return messageBody{received.Payload, sentAfter}, noError
 }
 
 // validate checks the method and the options, and returns the path. The code is
