Count a CoAP message in blocks as sent when its first block was

A first copy of a reading that is resumed after a pause was trusted without a check for too long, and could be recorded twice if the device had sent it through another router in between. Cause: the age of a message came from the Echo value of its last block, but the number of earlier copies in it is as old as its first block. Change: the message is delivered with the age of its first block, which at worst costs a check. Measured: TestResumedMessageIsAsOldAsItsFirstBlock and TestMessagesInBlocksAreWholeOverAnyLink (its check of ages) failed before and pass. Not reproduced end to end: the second record follows by reading from intake's Offer.

--- a/internal/edge/coap/abandoned_test.go
+++ b/internal/edge/coap/abandoned_test.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// A message is as old as its first block: its readings' number of earlier copies
+// was written then, and the device may have sent them elsewhere since.
+func TestResumedMessageIsAsOldAsItsFirstBlock(t *testing.T) {
+	client := newTestClient(t)
+	client.echoOption(home)
+	began := client.now
+	for number := range uint32(3) {
+		client.send(home, strings.Repeat("a", 16), block(number, number < 2))
+		client.advance(3000)
+	}
+	if len(client.delivered) != 1 || client.delivered[0].notBefore != began {
+		t.Errorf("delivered %+v, want one message sent not before %v", client.delivered, began)
+	}
+}
+
 // transit is a datagram on its way between a device and the server.
 type transit struct {
 	at       float64 // arrival, Unix milliseconds
@@ -181,7 +196,8 @@
 
 // A device on a link that loses, copies, delays and reorders datagrams sends
 // messages in blocks without a Request-Tag and abandons some of them. Each message
-// that the server delivers must be one that the device has sent.
+// that the server delivers must be one that the device has sent, and not be taken
+// for younger than it is.
 func TestMessagesInBlocksAreWholeOverAnyLink(t *testing.T) {
 	delivered := 0
 	for seed := range uint64(2000) {
@@ -189,13 +205,13 @@
 		client := newTestClient(t)
 		link := &delayedLink{client: client, random: random}
 		echo := client.echoOption(home).Value
-		composed := map[string]bool{}
+		composedAt := map[string]float64{}
 		token := 0
 		for number := range 15 {
 			parts := []string{fmt.Sprintf("message %8d", number), strings.Repeat(string(rune('a'+number)), 16), "end"}
 			parts = parts[:2+random.IntN(2)]
 			whole := strings.Join(parts, "")
-			composed[whole] = true
+			composedAt[whole] = client.now
 			for n := 0; n < len(parts); {
 				token++
 				switch code := link.request(token, parts[n], block(uint32(n), n < len(parts)-1), &echo); {
@@ -208,8 +224,10 @@
 			}
 		}
 		for _, got := range client.delivered {
-			if !composed[got.payload] {
-				t.Errorf("seed %d: delivered %q, want a message that the device composed", seed, got.payload)
+			at, sent := composedAt[got.payload]
+			if !sent || got.notBefore > at {
+				t.Errorf("seed %d: delivered %q sent after %v, want a message that the device composed, not before %v",
+					seed, got.payload, got.notBefore, at)
 			}
 		}
 		delivered += len(client.delivered)
--- a/internal/edge/coap/block.go
+++ b/internal/edge/coap/block.go
@@ -124,7 +124,7 @@
 	transfer.received = append(transfer.received, b.payload...)
 	if !b.more {
 		s.endTransfer(transfer)
-		return messageBody{transfer.received, b.sentAfter}, noError
+		return messageBody{transfer.received, transfer.sentAfter}, noError
 	}
 	return messageBody{}, s.addTransferBytes(now, transfer, len(b.payload))
 }
