Count a client's 2 s for a message from its first part, not from each part

A client that sent a message in parts less than 2 s apart kept its connection and its reserved memory without end. Cause: setPartial began the idle time anew for each part received, not just when a message becomes incomplete or is completed. Change: it is told whether a message was completed, and begins the time anew at these changes alone. Measured: TestTrickledMessageTimesOut failed before and passes.

--- a/internal/postgres/front/input.go
+++ b/internal/postgres/front/input.go
@@ -49,9 +49,11 @@
 	if excess := len(data) - readBufferBytes; excess > 0 && !c.reserveUnread(cap(c.unfinished)+excess) {
 		c.stopReading(errOutOfMemory)
 	}
+	completed := false
 	for len(data) > 0 && !c.discarding && !c.conn.Finishing() {
 		message, rest, err := c.nextMessage(data)
 		if err == nil && message != nil {
+			completed = true
 			err = c.receiveMessage(message)
 		}
 		if err != nil { // earlier commands are still answered first
@@ -64,7 +66,7 @@
 		return c.discard(len(data))
 	}
 	c.reserveUnread(cap(c.unfinished))
-	c.setPartial(len(c.unfinished) > 0)
+	c.setPartial(len(c.unfinished) > 0, completed)
 	return true
 }
 
@@ -89,14 +91,14 @@
 	return false
 }
 
-// setPartial records whether the last message received is incomplete. Either
-// change restarts the idle time of a client without pending commands.
-func (c *client) setPartial(partial bool) {
-	if !partial && !c.partial {
-		return
-	}
+// setPartial records whether the last message received is incomplete. The idle time
+// of a client without pending commands begins anew when a message becomes
+// incomplete and when it is completed, but not with each part of it.
+func (c *client) setPartial(partial, completed bool) {
+	began := partial && (!c.partial || completed)
+	ended := !partial && c.partial
 	c.partial = partial
-	if !c.busy() && !c.released {
+	if (began || ended) && !c.busy() && !c.released {
 		c.beginIdle()
 		c.drainIfIdle()
 	}
--- a/internal/postgres/front/memory_test.go
+++ b/internal/postgres/front/memory_test.go
@@ -150,6 +150,12 @@
 	remote.expect(remote.readUntil("Z"), "53300")
 	remote.write(writeQuery(fitting + 1))
 	stub.waitSubmitted(fitting + 1)
+	stub.loop.Do(func() {
+		if c := stub.server.clients.AtSlot(uint32(fitting)); c.unreadBytes != 0 || c.partial {
+			t.Errorf("%d bytes reserved for unread input, partial %v, want none after a rejected statement",
+				c.unreadBytes, c.partial)
+		}
+	})
 	stub.loop.Do(func() {
 		if used := stub.server.queuedMemory.Used(); used > budget {
 			t.Errorf("%d bytes reserved for statements, want at most %d", used, budget)
--- a/internal/postgres/front/partial_test.go
+++ b/internal/postgres/front/partial_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"lotusbend/internal/clock"
 	"lotusbend/internal/netio"
@@ -63,3 +64,19 @@
 		}
 	}
 }
+
+// TestTrickledMessageTimesOut checks that a message whose parts keep arriving ends
+// its connection partialTimeoutMs after the first part.
+func TestTrickledMessageTimesOut(t *testing.T) {
+	stub := newStub(t, 100)
+	remote := stub.connect()
+	statement := largeQuery(1, 32<<10)
+	remote.write(statement[:9])
+	stub.waitUntil(func() bool { return stub.onlyClient().partial })
+	stub.advance(partialTimeoutMs - 1)
+	remote.write(statement[9:9000])
+	stub.waitUntil(func() bool { return len(stub.onlyClient().unfinished) == 9000 })
+	stub.advance(1)
+	_ = remote.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	remote.expect(remote.readUntil(noSuchMessage), "08P01", endOfConnection)
+}
