Count a long statement twice against the memory budget, for its copy to the endpoint

Cause: a statement under way is in memory as its text and as the message that is being written; the budget counted the text alone. Change: a statement counts twice; its text is the message's own buffer and no longer cloned. TestLongStatementsOfManyClientsAreBounded fails with one copy and passes.

--- a/internal/postgres/front/commands.go
+++ b/internal/postgres/front/commands.go
@@ -1,8 +1,6 @@
 package front
 
 import (
-	"bytes"
-
 	"lotusbend/internal/postgres/pipeline"
 	"lotusbend/internal/postgres/wire"
 )
@@ -11,8 +9,13 @@
 // its text or answer.
 const commandOverheadBytes = 256
 
-// receive processes one message. It must be called inside Do. If it returns an
-// error, the connection must be ended after the answers to earlier commands.
+// copiesOfStatement is how often a statement under way is in memory: as its text,
+// and as the message that is being written to an endpoint.
+const copiesOfStatement = 2
+
+// receive processes one message, whose body it may keep. It must be called inside
+// Do. If it returns an error, the connection must be ended after the answers to
+// earlier commands.
 func (c *client) receive(kind byte, body []byte) error {
 	if c.closing { // ignored: the client retries on another connection after the half-close
 		return nil
@@ -65,12 +68,11 @@
 		c.active = true
 		c.server.activeClients++
 	}
-	size := commandOverheadBytes + len(text)
+	size := commandOverheadBytes + copiesOfStatement*len(text)
 	if !c.server.queuedMemory.Fits(size) && (c.queue.Len() > 0 || len(text) > smallMessageBytes) {
 		c.rejectStatement()
 		return nil
 	}
-	text = bytes.Clone(text) // the read buffer is reused before the request ends
 	received, access, problem := c.parse(text)
 	if problem != "" {
 		return c.reply(errorAnswer(wire.CodeSyntaxError, problem))
--- a/internal/postgres/front/memory_test.go
+++ b/internal/postgres/front/memory_test.go
@@ -136,10 +136,12 @@
 // long statement cannot exceed the memory budget: those past it are rejected, while
 // a short statement is always accepted.
 func TestLongStatementsOfManyClientsAreBounded(t *testing.T) {
-	const valueBytes = 100 << 10
+	const valueBytes = 64 << 10
+	const charactersPerByte = 2
+	const copies = 2 // the statement's text, and the message to its endpoint
 	stub := newStub(t, 100)
 	budget := testMemoryMiB * (1 << 20) / 5
-	fitting := budget / (2 * valueBytes) // a byte of the value takes two characters
+	fitting := budget / (copies * charactersPerByte * valueBytes)
 	for n := range fitting {
 		stub.connect().write(largeQuery(n, valueBytes))
 		stub.waitSubmitted(n + 1)
--- a/internal/postgres/front/message.go
+++ b/internal/postgres/front/message.go
@@ -1,6 +1,10 @@
 package front
 
-import "lotusbend/internal/postgres/wire"
+import (
+	"bytes"
+
+	"lotusbend/internal/postgres/wire"
+)
 
 const (
 	// smallMessageBytes is the largest amount of unparsed input that a client may
@@ -14,8 +18,8 @@
 // nextMessage returns the first message of data and the bytes after it. If data
 // ends before the message does, it keeps the beginning in c.unfinished and returns
 // a nil message. Memory for a long message is reserved before more than its header
-// is kept; without it, nextMessage returns errOutOfMemory. The message is valid
-// until data is reused.
+// is kept; without it, nextMessage returns errOutOfMemory. The message does not
+// refer to data, and belongs to the caller.
 func (c *client) nextMessage(data []byte) (message, rest []byte, err error) {
 	if len(c.unfinished) == 0 {
 		length, err := c.messageLength(data)
@@ -23,7 +27,7 @@
 			return nil, nil, err
 		}
 		if len(data) >= length {
-			return data[:length], data[length:], nil
+			return bytes.Clone(data[:length]), data[length:], nil
 		}
 	}
 	for {
