--- a/internal/netio/readgate_test.go
+++ b/internal/netio/readgate_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"testing"
 	"time"
 
@@ -124,3 +125,39 @@
 		t.Errorf("read = %v after the close, want an answer", err)
 	}
 }
+
+// A dialled connection has no gate, but on one processor, as the router runs, its
+// callback must run before the poller has read all that the peer has sent: a
+// database host that floods its connections is then cut off at once.
+func TestDialledConnectionIsReadAfterItsCallbackStarts(t *testing.T) {
+	const maxReadBytes = 64 << 10 // some reads of growing size
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	dialled, err := netpoll.DialConnection("tcp", listener.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = dialled.Close() })
+	unread := make(chan int, 1)
+	err = dialled.SetOnRequest(func(_ context.Context, nc netpoll.Connection) error {
+		unread <- nc.Reader().Len()
+		return nc.Close()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = peer.Close() })
+	_ = peer.SetWriteDeadline(time.Now().Add(10 * time.Second))
+	_, _ = peer.Write(make([]byte, 64<<20)) // fails once the callback has closed the connection
+	if n := <-unread; n > maxReadBytes {
+		t.Errorf("%d bytes were read before the callback ran, want at most %d", n, maxReadBytes)
+	}
+}
