Wait until the callback of a database connection has started, instead of yielding once

Cause: TestDialledConnectionIsReadAfterItsCallbackStarts failed once in 40 runs beside load (3.9 MB read first). Traced: after a yield the scheduler takes the global queue first at each 61st turn, which is the poller itself, and the poller does not yield again in that burst. Change: the poller waits for a signal that the callback has started; on one processor it then runs up to where it waits. TestReadGateStopsReadingWhileCallbackRuns no longer skips a first callback that comes before the test waits for it.

--- a/internal/netio/readgate.go
+++ b/internal/netio/readgate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime"
 	"sync"
 
 	"github.com/bytedance/gopkg/util/gopool"
@@ -90,13 +89,17 @@
 // runCallback runs a connection's callbacks in a goroutine. If the context has a
 // ReadGate, it first waits for the connections that are being closed, and then for
 // the callbacks. Otherwise, as for dialled connections, whose callbacks may wait for
-// bytes, it lets the callbacks run first, up to where they wait. netpoll calls it in
-// the poller's goroutine.
+// bytes, it waits until they have started: on one processor they then run up to
+// where they wait. netpoll calls it in the poller's goroutine.
 func runCallback(ctx context.Context, callback func()) {
 	gate, ok := ctx.Value(readGateKey{}).(*ReadGate)
 	if !ok {
-		gopool.CtxGo(ctx, callback)
-		runtime.Gosched()
+		started := make(chan struct{})
+		gopool.CtxGo(ctx, func() {
+			close(started)
+			callback()
+		})
+		<-started
 		return
 	}
 	closings.wait()
--- a/internal/netio/readgate_test.go
+++ b/internal/netio/readgate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,13 +58,13 @@
 	const maxReadBytes = 8 << 10 // netpoll's read buffer
 	entered := make(chan netpoll.Connection)
 	proceed := make(chan struct{})
+	var first sync.Once
 	address := serveGated(t, func(_ context.Context, nc netpoll.Connection) error {
-		in := nc.Reader()
-		select {
-		case entered <- nc:
+		first.Do(func() {
+			entered <- nc
 			<-proceed
-		default: // only the first callback waits for the test
-		}
+		})
+		in := nc.Reader()
 		return errors.Join(in.Skip(in.Len()), in.Release())
 	})
 	conn := dialTCP(t, address)
