--- a/cmd/lotusbend/memory_test.go
+++ b/cmd/lotusbend/memory_test.go
@@ -115,24 +115,34 @@
 	}
 }
 
-// longCommand returns a startup message and a write with a value of 130,000 bytes.
-// Each call numbers its statement anew.
-func longCommand(number *atomic.Int64) []byte {
+// longCommand returns a startup message and a write with a value of the given
+// length. Each call numbers its statement anew.
+func longCommand(number *atomic.Int64, valueBytes int) []byte {
 	n := number.Add(1)
 	statement := fmt.Appendf(nil, `INSERT INTO items (id, doc) VALUES ('7f3a', '\x%s') RETURNING doc `+
-		`/* id=%d,c=write,d=2000,k=%d,cluster=1 */`, bytes.Repeat([]byte("9f"), 130000), n, n)
+		`/* id=%d,c=write,d=2000,k=%d,cluster=1 */`, bytes.Repeat([]byte("9f"), valueBytes), n, n)
 	return wire.AppendQuery(wire.AppendStartup(nil, "app", "shop"), statement)
 }
 
-// checkFlood lets 310 clients send messages at full speed to a router with 48 MiB.
-// The router must stay within its limit, past which the platform kills it, and must
-// still end gracefully.
-func checkFlood(t *testing.T, message func() []byte) {
+// floodLimits are the limits of a router and the number of its bad clients.
+type floodLimits struct {
+	memoryMiB   int
+	descriptors int
+	clients     int
+	lasts       time.Duration
+}
+
+// reviewedLimits are those of the flood that first drove a router over its limit.
+var reviewedLimits = floodLimits{memoryMiB: 48, descriptors: 512, clients: 310, lasts: 3 * time.Second}
+
+// checkFlood lets clients send messages at full speed to a router. The router must
+// stay within its memory limit, past which the platform kills it, and must still
+// end gracefully.
+func checkFlood(t *testing.T, limits floodLimits, message func() []byte) {
 	t.Helper()
-	const memoryMiB, descriptors, clients = 48, 512, 310
-	program := startMemoryProgram(t, memoryMiB, descriptors)
-	if most := program.flood(clients, message, 3*time.Second); most > memoryMiB {
-		t.Errorf("the router used %d MiB, want at most %d", most, memoryMiB)
+	program := startMemoryProgram(t, limits.memoryMiB, limits.descriptors)
+	if most := program.flood(limits.clients, message, limits.lasts); most > limits.memoryMiB {
+		t.Errorf("the router used %d MiB, want at most %d", most, limits.memoryMiB)
 	}
 	if err := program.command.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Error(err)
@@ -147,8 +157,8 @@
 // connection must not keep its buffers.
 func TestUnfinishedCommandsStayWithinMemoryLimit(t *testing.T) {
 	var number atomic.Int64
-	checkFlood(t, func() []byte {
-		command := longCommand(&number)
+	checkFlood(t, reviewedLimits, func() []byte {
+		command := longCommand(&number, 130000)
 		return command[:len(command)-10]
 	})
 }
@@ -157,5 +167,16 @@
 // memory limit: what a connection may always have is a short statement.
 func TestLongStatementsOfManyClientsStayWithinMemoryLimit(t *testing.T) {
 	var number atomic.Int64
-	checkFlood(t, func() []byte { return longCommand(&number) })
+	checkFlood(t, reviewedLimits, func() []byte { return longCommand(&number, 130000) })
+}
+
+// The same as TestUnfinishedCommandsStayWithinMemoryLimit with commands of 60 KB and
+// a small router.
+func TestUnfinishedShorterCommandsStayWithinMemoryLimit(t *testing.T) {
+	var number atomic.Int64
+	limits := floodLimits{memoryMiB: 32, descriptors: 256, clients: 150, lasts: 5 * time.Second}
+	checkFlood(t, limits, func() []byte {
+		command := longCommand(&number, 30000)
+		return command[:len(command)-10]
+	})
 }
