--- a/cmd/lotusbend/shutdown_test.go
+++ b/cmd/lotusbend/shutdown_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -12,10 +14,12 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"lotusbend/internal/clock"
 	"lotusbend/internal/deployconfig"
 	"lotusbend/internal/operatorconfig"
+	"lotusbend/internal/postgres/wire"
 )
 
 // beginShutdown stops the router and waits until it has logged that.
@@ -96,6 +100,65 @@
 	bed.awaitEnd()
 }
 
+// A request that is sent behind statements to a hung endpoint after the drain began must
+// be answered before the earliest SIGKILL: its answer must not wait for their deadlines.
+func TestRequestSentInDrainIsAnsweredBeforeSIGKILL(t *testing.T) {
+	const sigkillMs = maxGraceMs + 700 // after SIGTERM, with deadlines of 3 s and more
+	late := wire.AppendQuery(nil, []byte(viewStatement))
+	for name, c := range map[string]struct {
+		writes int    // sent before SIGTERM, to a primary that hangs
+		late   []byte // sent during the drain
+		want   string // code in the answer to late
+	}{
+		"read behind a write":             {writes: 1, late: late, want: "57P03"},
+		"reads behind queued writes":      {writes: 40, late: bytes.Repeat(late, 3), want: "57P03"},
+		"extended protocol behind writes": {writes: 2, late: []byte("P\x00\x00\x00\x08\x00\x00\x00\x00"), want: "0A000"},
+		"unsound message behind a write":  {writes: 1, late: []byte("Q\xff\xff\xff\xff"), want: "08P01"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener := listen(t)
+			bed := newTestbed(t, 100, endpointEntry("p", listener, "off", "ready"))
+			client := bed.connectClient()
+			for n := range c.writes {
+				client.query(strings.NewReplacer("9b20", fmt.Sprintf("9c%02x", n), "d=2000", "d=5000").Replace(writeStatement))
+			}
+			endpoint := accept(t, listener)
+			endpoint.message()
+			bed.beginDraining()
+			bed.advance(400)
+			client.write(c.late)
+			bed.waitForInput()
+			bed.advance(sigkillMs - drainDelayMs - 400 - 2*shutdownCheckMs)
+			_ = client.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+			for range c.writes {
+				client.want(client.answer(), "E")
+			}
+			client.want(client.answer(), c.want)
+		})
+	}
+}
+
+// A connection that is not used after the drain began waits for its answer up to the
+// longest deadline, although SIGKILL may come earlier: no later request is lost with it.
+func TestUnusedConnectionWaitsForItsAnswerInDrain(t *testing.T) {
+	listener := listen(t)
+	bed := newTestbed(t, 100, endpointEntry("p", listener, "off", "ready"))
+	client := bed.connectClient()
+	client.query(strings.Replace(writeStatement, "d=2000", "d=5000", 1))
+	endpoint := accept(t, listener)
+	endpoint.message()
+	bed.beginDraining()
+	bed.advance(maxGraceMs + 700)
+	endpoint.write(rowAnswer(writeStatement, "late", "off"))
+	client.want(client.answer(), "late")
+}
+
+// waitForInput waits until a client's input has arrived during the drain.
+func (bed *testbed) waitForInput() {
+	bed.t.Helper()
+	bed.waitUntil(func() bool { return bed.node.server.LateClients() > 0 })
+}
+
 // SIGTERM may arrive before the router serves, and twice: the router must still
 // shut down gracefully.
 func TestSIGTERMWhileStartingEndsInOrder(t *testing.T) {
--- a/decide/request.go
+++ b/decide/request.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// GiveUp ends a request before its deadline in the way in which it ends there: it is
+// rejected if its client can safely retry it, and failed otherwise. An unknown id is
+// ignored.
+func (r *Router) GiveUp(_ time.Duration, id uint64) {
+	request := r.requests[id]
+	if request != nil && !request.answered && !request.answerStarted {
+		r.failEarly(request)
+	}
+}
+
 // AnswerStarted reports that the first bytes of an attempt's answer were sent to
 // the client. From then on the request is neither retried nor ended at its
 // deadline.
--- a/internal/postgres/front/characterization_test.go
+++ b/internal/postgres/front/characterization_test.go
@@ -181,6 +181,9 @@
 	return slotmap.Handle{Slot: 7, Gen: 7}
 }
 
+// GiveUp implements front.RequestHandler. No script calls for it.
+func (s *server) GiveUp(slotmap.Handle) { panic("GiveUp without a drain's end") }
+
 // ClientCancelled implements front.RequestHandler. It logs the cancellation.
 func (s *server) ClientCancelled(request slotmap.Handle) { s.number(1, uint64(request.Slot)) }
 
--- a/internal/postgres/front/client.go
+++ b/internal/postgres/front/client.go
@@ -22,6 +22,8 @@
 	active      bool            // it has sent a complete statement
 	partial     bool            // the last message received is incomplete
 	starting    bool            // startCommands is on the stack
+	sentInDrain bool            // it has sent something since the drain began
+	givenUp     bool            // its statements no longer wait for endpoints
 	skipping    bool            // after an error in the extended protocol: ignores messages up to Sync
 	idleSince   float64         // Unix milliseconds of the last beginIdle
 	idleTimer   *clock.Deadline // runs checkIdle
--- a/internal/postgres/front/commands.go
+++ b/internal/postgres/front/commands.go
@@ -153,6 +153,9 @@
 			next.setReservedBytes(next.reservedBytes + answerReserveBytes)
 		}
 		waited := c.server.loop.Now() - next.receivedAt
+		if c.givenUp {
+			waited = next.request.TimeLeft
+		}
 		c.start(next, next.request.TimeLeft-waited)
 	}
 }
--- a/internal/postgres/front/drain.go
+++ b/internal/postgres/front/drain.go
@@ -1,6 +1,9 @@
 package front
 
-import "lotusbend/internal/slotmap"
+import (
+	"lotusbend/internal/postgres/pipeline"
+	"lotusbend/internal/slotmap"
+)
 
 // Phases of a drain, counted from its start.
 const (
@@ -44,3 +47,42 @@
 		c.halfCloseIfQuiet()
 	}
 }
+
+// GiveUpLateClients answers all commands of the clients that have sent anything since
+// the drain began or do so from now on, without waiting for endpoints any longer.
+// Answers are sent in the order of the commands, so what was sent late would otherwise
+// wait for statements that may outlast the process.
+func (s *Server) GiveUpLateClients() {
+	s.givingUp = true
+	s.clients.Each(func(_ slotmap.Handle, c *client) {
+		if c.sentInDrain {
+			c.giveUp()
+		}
+	})
+}
+
+// LateClients returns the number of clients that have sent anything since the drain
+// began.
+func (s *Server) LateClients() (late int) {
+	s.clients.Each(func(_ slotmap.Handle, c *client) {
+		if c.sentInDrain {
+			late++
+		}
+	})
+	return late
+}
+
+// giveUp ends the running statements of c as if their deadlines had passed. Those that
+// wait for them end as they start.
+func (c *client) giveUp() {
+	c.givenUp = true
+	var running []slotmap.Handle
+	c.queue.Each(func(command *pipeline.Command[*statement]) {
+		if command.Running() {
+			running = append(running, command.Value.requestHandle)
+		}
+	})
+	for _, request := range running {
+		c.server.handler.GiveUp(request)
+	}
+}
--- a/internal/postgres/front/front.go
+++ b/internal/postgres/front/front.go
@@ -54,6 +54,8 @@
 	Submit(request router.Request, from router.Client, client slotmap.Handle) slotmap.Handle
 	// ClientCancelled ends a request whose client no longer waits for the answer.
 	ClientCancelled(request slotmap.Handle)
+	// GiveUp answers a request before its deadline, as if that had passed.
+	GiveUp(request slotmap.Handle)
 }
 
 // Server accepts and serves client connections. Its methods must be called
@@ -71,6 +73,7 @@
 	listener       net.Listener
 	draining       bool
 	drainBegan     float64 // Unix milliseconds
+	givingUp       bool    // GiveUpLateClients was called
 	activeClients  int     // clients that have sent a complete statement
 	reserveClients int     // rejected and evicted clients, which use reserve descriptors
 }
--- a/internal/postgres/front/input.go
+++ b/internal/postgres/front/input.go
@@ -46,6 +46,7 @@
 // receiveBytes processes the complete messages in data and keeps the beginning of
 // an incomplete one. It returns false if the connection must be closed at once.
 func (c *client) receiveBytes(data []byte) (keep bool) {
+	c.sentInDrain = c.sentInDrain || c.server.draining
 	if excess := len(data) - readBufferBytes; excess > 0 && !c.reserveUnread(cap(c.unfinished)+excess) {
 		c.stopReading(errOutOfMemory)
 	}
@@ -67,6 +68,9 @@
 	}
 	c.reserveUnread(cap(c.unfinished))
 	c.setPartial(len(c.unfinished) > 0, completed)
+	if c.server.givingUp {
+		c.giveUp()
+	}
 	return true
 }
 
--- a/internal/postgres/front/partial_test.go
+++ b/internal/postgres/front/partial_test.go
@@ -23,6 +23,7 @@
 func (noClasses) Submit(router.Request, router.Client, slotmap.Handle) (r slotmap.Handle) { return r }
 
 func (noClasses) ClientCancelled(slotmap.Handle) {}
+func (noClasses) GiveUp(slotmap.Handle)          {}
 
 // TestPartialMessageTimesOut checks that a connection with an incomplete message is
 // ended partialTimeoutMs after the first part arrived, both during the startup and
--- a/internal/postgres/front/stub_test.go
+++ b/internal/postgres/front/stub_test.go
@@ -60,6 +60,12 @@
 
 func (s *stubRouter) ClientCancelled(slotmap.Handle) { s.cancelled++ }
 
+// GiveUp answers a statement as rejected.
+func (s *stubRouter) GiveUp(request slotmap.Handle) {
+	given := s.submitted[request.Slot-1]
+	given.from.Answer(given.client, router.Answer{Verdict: router.Rejected})
+}
+
 // newStub starts a server on a loopback address with a limit on descriptors.
 func newStub(t *testing.T, descriptors int) *stubRouter {
 	t.Helper()
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -128,6 +128,15 @@
 	r.release(handle, request)
 }
 
+// GiveUp answers a request before its deadline, without waiting for its attempts any
+// longer. It ignores a request that has been answered.
+func (r *Router) GiveUp(handle slotmap.Handle) {
+	request := r.requests.Get(handle)
+	if request != nil && !request.answered {
+		r.decider.GiveUp(r.now(), request.id)
+	}
+}
+
 // ExpireAll ends every request as if its deadline had passed.
 func (r *Router) ExpireAll() {
 	r.requests.Each(func(handle slotmap.Handle, _ *trackedRequest) { r.expire(handle) })
