--- a/cmd/lotusbend/memory_test.go
+++ b/cmd/lotusbend/memory_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -27,14 +28,15 @@
 	limit   int    // MiB
 }
 
-// startMemoryProgram starts a router with limits on memory, in MiB, and descriptors.
-func startMemoryProgram(t *testing.T, memoryMiB, descriptors int) *memoryProgram {
+// startMemoryProgram starts a router with limits on memory, in MiB, and descriptors,
+// and with the known endpoints.
+func startMemoryProgram(t *testing.T, memoryMiB, descriptors int, known ...string) *memoryProgram {
 	t.Helper()
 	if raceEnabled {
 		t.Skip("the race detector's own memory would be counted; the plain run has this test")
 	}
 	path := filepath.Join(t.TempDir(), "config.json")
-	text := configuration(listen(t), descriptors)
+	text := configuration(listen(t), descriptors, known...)
 	text = bytes.Replace(text, []byte(`"limits":{`), fmt.Appendf(nil, `"limits":{"memory_mb":%d,`, memoryMiB), 1)
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
@@ -75,7 +77,6 @@
 // connection, and begin again, until the time is over. It returns the most memory
 // that the router had, in MiB; it ends early once that is over the limit.
 func (program *memoryProgram) flood(clients int, message func() []byte, lasts time.Duration) (mostMiB int) {
-	until := time.Now().Add(lasts)
 	stopped := make(chan struct{})
 	var running sync.WaitGroup
 	for range clients {
@@ -90,12 +91,19 @@
 			}
 		})
 	}
-	for time.Now().Before(until) && mostMiB <= program.limit {
+	mostMiB = program.watch(lasts)
+	close(stopped)
+	running.Wait()
+	return mostMiB
+}
+
+// watch returns the most memory that the router had in the given time, in MiB. It
+// returns early once that is over the limit.
+func (program *memoryProgram) watch(lasts time.Duration) (mostMiB int) {
+	for until := time.Now().Add(lasts); time.Now().Before(until) && mostMiB <= program.limit; {
 		mostMiB = max(mostMiB, program.residentMiB())
 		time.Sleep(5 * time.Millisecond)
 	}
-	close(stopped)
-	running.Wait()
 	return mostMiB
 }
 
@@ -180,3 +188,107 @@
 		return command[:len(command)-10]
 	})
 }
+
+// startValueHosts starts a primary and two replicas that answer each read with a value
+// of the given size, and returns their entries of the endpoint list.
+func startValueHosts(t *testing.T, valueBytes int) (entries []string) {
+	t.Helper()
+	value := strings.Repeat("v", valueBytes)
+	for number, recovery := range []string{"off", "on", "on"} {
+		listener := listen(t)
+		entries = append(entries, endpointEntry(fmt.Sprint("host", number), listener, recovery, "ready"))
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil { // the test has ended
+					return
+				}
+				go serveValues(conn, value, recovery)
+			}
+		}()
+	}
+	return entries
+}
+
+// serveValues answers the statements of a connection until it ends.
+func serveValues(conn net.Conn, value, recovery string) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	header := make([]byte, wire.StartupHeaderLen)
+	if _, err := io.ReadFull(in, header); err != nil {
+		return
+	}
+	n, err := wire.ParseStartupHeader(header)
+	if err == nil {
+		_, err = in.Discard(n)
+	}
+	answer := wire.AppendReadyForQuery(wire.AppendAuthenticationOk(nil))
+	for err == nil {
+		if _, err = conn.Write(answer); err != nil {
+			return
+		}
+		header = make([]byte, wire.HeaderLen)
+		if _, err = io.ReadFull(in, header); err != nil {
+			return
+		}
+		_, n, err = wire.ParseHeader(header)
+		body := make([]byte, n)
+		if err == nil {
+			_, err = io.ReadFull(in, body)
+		}
+		answer = rowAnswer(string(body), value, recovery)
+	}
+}
+
+// readValues sends reads one after another on a connection until stop is closed, and
+// counts those that were answered with a value.
+func (program *memoryProgram) readValues(client int, valueBytes int, stop <-chan struct{}, served *atomic.Int64) {
+	conn, err := net.Dial("tcp", program.address)
+	if err != nil {
+		return
+	}
+	remote := newPeer(program.t, conn)
+	remote.write(wire.AppendStartup(nil, "app", "shop"))
+	remote.answer()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		remote.query(strings.Replace(viewStatement, "9b1f", fmt.Sprintf("%04x%08x", client, n), 1))
+		if len(remote.answer()) >= valueBytes {
+			served.Add(1)
+		}
+	}
+}
+
+// Ordinary reads of large values must not drive the router over its memory limit: the
+// read buffers of connections to hosts must not grow with each answer.
+func TestReadsOfLargeValuesStayWithinMemoryLimit(t *testing.T) {
+	for name, c := range map[string]struct{ memoryMiB, descriptors, clients, valueBytes int }{
+		"48 MB, 60,000 bytes, 40 clients": {48, 384, 40, 60_000},
+		"32 MB, 32 KiB, 20 clients":       {32, 256, 20, 32 << 10},
+		"64 MB, 64 KiB, 100 clients":      {64, 512, 100, 64 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			program := startMemoryProgram(t, c.memoryMiB, c.descriptors, startValueHosts(t, c.valueBytes)...)
+			stop := make(chan struct{})
+			var running sync.WaitGroup
+			var served atomic.Int64
+			for client := range c.clients {
+				running.Go(func() { program.readValues(client, c.valueBytes, stop, &served) })
+			}
+			most := program.watch(3 * time.Second)
+			close(stop)
+			running.Wait()
+			if most > c.memoryMiB {
+				t.Errorf("the router used %d MiB, want at most %d", most, c.memoryMiB)
+			}
+			if served.Load() == 0 {
+				t.Error("no read was served")
+			}
+			t.Logf("at most %d MiB, %d reads served", most, served.Load())
+		})
+	}
+}
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -66,7 +66,7 @@
 	}
 	if !c.flushing {
 		c.flushing = true
-		go c.flush()
+		workers.run(c.flush)
 	}
 }
 
--- a/internal/netio/readgate.go
+++ b/internal/netio/readgate.go
@@ -4,14 +4,17 @@
 	"context"
 	"sync"
 
-	"github.com/bytedance/gopkg/util/gopool"
 	"github.com/cloudwego/netpoll"
 )
 
 // netpoll reads its configuration while connections are served, so it must be set
 // during the initialization of the program.
 func init() {
-	err := netpoll.Configure(netpoll.Config{Runner: runCallback, LoadBalance: netpoll.RoundRobin})
+	err := netpoll.Configure(netpoll.Config{
+		PollerNum:   1, // PollerHold stops one
+		Runner:      runCallback,
+		LoadBalance: netpoll.RoundRobin,
+	})
 	if err != nil {
 		panic(err) // only an unknown load balance is rejected
 	}
@@ -88,23 +91,17 @@
 
 // runCallback runs a connection's callbacks in a goroutine. If the context has a
 // ReadGate, it first waits for the connections that are being closed, and then for
-// the callbacks. Otherwise, as for dialled connections, whose callbacks may wait for
-// bytes, it waits until they have started: on one processor they then run up to
-// where they wait. netpoll calls it in the poller's goroutine.
+// the callbacks. For any other, as for dialled connections, see runUngated. netpoll
+// calls it in the poller's goroutine.
 func runCallback(ctx context.Context, callback func()) {
 	gate, ok := ctx.Value(readGateKey{}).(*ReadGate)
 	if !ok {
-		started := make(chan struct{})
-		gopool.CtxGo(ctx, func() {
-			close(started)
-			callback()
-		})
-		<-started
+		runUngated(callback)
 		return
 	}
 	closings.wait()
 	gate.start()
-	gopool.CtxGo(ctx, func() {
+	workers.run(func() {
 		defer gate.finish()
 		callback()
 	})
--- a/internal/postgres/back/answer.go
+++ b/internal/postgres/back/answer.go
@@ -2,20 +2,17 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 
-	"github.com/cloudwego/netpoll"
-
 	"lotusbend/decide"
 	"lotusbend/internal/postgres/wire"
 	"lotusbend/internal/router"
 )
 
 const (
-	// maxAnswerBytes is the maximum length of an answer, which stays in the read
-	// buffer until it is complete.
+	// maxAnswerBytes is the maximum length of an answer, which stays in memory until it
+	// is complete.
 	maxAnswerBytes = 2 * wire.MaxBodyLen
 	// maxControlBytes is the maximum body length of every message except a DataRow.
 	maxControlBytes = 8 << 10
@@ -40,9 +37,8 @@
 	failed                 // ErrorResponse
 )
 
-// answer collects the messages of one answer. It is used by the connection's own
-// callbacks, which never run concurrently. Its slices refer to the read buffer
-// and are valid until the buffer is released at the end of the answer.
+// answer collects the messages of one answer. Its slices may refer to the pool's read
+// buffer until keep is called.
 type answer struct {
 	size      int // bytes received
 	stage     stage
@@ -51,100 +47,20 @@
 	errorCode []byte      // of an ErrorResponse
 	role      decide.Role // reported by the endpoint
 	position  []byte      // reported by the endpoint, in Unix milliseconds
+	valueKept bool        // row.Value does not refer to the read buffer
 }
 
-// onData processes received messages. It runs in the connection's own goroutine
-// and blocks while a message is incomplete.
-//
-// Bytes that cannot belong to an answer to the current statement end the attempt
-// and the connection; the remaining bytes would otherwise be taken for the answer
-// to the next statement.
-func (c *conn) onData(_ context.Context, nc netpoll.Connection) error {
-	in := nc.Reader()
-	for in.Len() > 0 {
-		err := c.readMessage(in)
-		if errors.Is(err, wire.ErrMalformed) {
-			c.pool.loop.Do(func() { c.pool.malformed(c) })
-		}
-		if err != nil {
-			return nc.Close() // the close callback notifies the pool
-		}
-	}
-	return nil
-}
-
-// readMessage processes one message.
-func (c *conn) readMessage(in netpoll.Reader) error {
-	if c.answer.size == 0 { // checked while the bytes are in the buffer, where Quiet sees them
-		var err error
-		c.pool.loop.Do(func() { err = c.pool.beginAnswer(c) })
-		if err != nil {
-			return err
-		}
-	}
-	header, err := in.Next(wire.HeaderLen)
-	if err != nil {
-		return err
-	}
-	kind, n, err := wire.ParseHeader(header)
-	if err != nil {
-		return err
-	}
-	if err := c.answer.checkSize(kind, n); err != nil {
-		return err
-	}
-	if kind == wire.DataRow {
-		if err := checkRow(in, n); err != nil {
-			return err
-		}
-	}
-	var body []byte
-	if n > 0 {
-		if body, err = in.Next(n); err != nil {
-			return err
-		}
-	}
-	if kind == wire.ReadyForQuery {
-		return c.endAnswer(in, body)
-	}
-	return c.answer.addMessage(kind, body)
-}
-
-// checkSize adds a message with a body of n bytes to the size of the answer. It
-// returns errTooLong if the message or the answer is too long.
-func (a *answer) checkSize(kind byte, n int) error {
-	if kind != wire.DataRow && n > maxControlBytes {
-		return errTooLong
-	}
-	a.size += n + wire.HeaderLen
-	if a.size > maxAnswerBytes {
-		return errTooLong
-	}
-	return nil
-}
-
-// checkRow checks the header of a DataRow with a body of n bytes before the rest
-// has arrived; the wait for a row with a wrong length would never end.
-func checkRow(in netpoll.Reader, n int) error {
-	head, err := in.Peek(min(n, wire.RowHeaderLen))
-	if err != nil {
-		return err
-	}
-	return wire.CheckDataRow(head, n)
-}
-
-// endAnswer handles a ReadyForQuery and releases the read buffer.
-func (c *conn) endAnswer(in netpoll.Reader, body []byte) error {
-	if err := wire.CheckReady(body); err != nil {
-		return err
-	}
-	var err error
-	c.pool.loop.Do(func() { err = c.pool.readyForQuery(c) })
-	if err != nil {
-		return err
+// keep copies what refers to the pool's read buffer, which is used again for the next
+// bytes of any connection.
+func (a *answer) keep() {
+	a.column.Name = bytes.Clone(a.column.Name)
+	a.row.Tag = bytes.Clone(a.row.Tag)
+	a.errorCode = bytes.Clone(a.errorCode)
+	a.position = bytes.Clone(a.position)
+	if !a.valueKept {
+		a.row.Value = bytes.Clone(a.row.Value)
+		a.valueKept = a.row.Value != nil
 	}
-	c.answer = answer{}
-	return in.Release()
 }
 
 // addMessage parses a message of an answer or of the startup.
--- a/internal/postgres/back/connection.go
+++ b/internal/postgres/back/connection.go
@@ -6,6 +6,7 @@
 	"lotusbend/decide"
 	"lotusbend/internal/clock"
 	"lotusbend/internal/netio"
+	"lotusbend/internal/postgres/wire"
 	"lotusbend/internal/router"
 	"lotusbend/internal/slotmap"
 )
@@ -32,8 +33,7 @@
 	closed
 )
 
-// conn is one connection to an endpoint. answer is accessed by the connection's
-// own callbacks, the other fields inside the loop's Do.
+// conn is one connection to an endpoint. Its fields are accessed inside the loop's Do.
 type conn struct {
 	handle     slotmap.Handle
 	pool       *Pool
@@ -45,6 +45,8 @@
 	idleSince  float64         // Unix milliseconds
 	timeout    *clock.Deadline // ends the present phase
 	idleCloses int             // endpoint.idleCloses when the connection began to open or settle
+	input      wire.Assembler
+	unparsed   int // received bytes behind the message that is being processed
 	answer     answer
 }
 
@@ -53,7 +55,7 @@
 // reused.
 func (p *Pool) ready(c *conn) {
 	e := c.endpoint
-	reusable := c.address == e.address && c.socket.Quiet()
+	reusable := c.address == e.address && c.unparsed == 0 && c.socket.Quiet()
 	for reusable && len(e.waiting) > 0 {
 		j := e.waiting[0]
 		e.waiting = e.waiting[1:]
@@ -167,9 +169,8 @@
 	}
 }
 
-// disconnectedInFlight ends the job of a connection that has ended. A complete
-// answer in the read buffer is reported now, as the buffer is released after this
-// callback.
+// disconnectedInFlight ends the job of a connection that has ended. An answer that is
+// complete but for its ReadyForQuery counts.
 func (p *Pool) disconnectedInFlight(c *conn, j *job) {
 	p.close(c)
 	report, complete := c.answer.report(j)
--- a/internal/postgres/back/open.go
+++ b/internal/postgres/back/open.go
@@ -102,7 +102,7 @@
 		p.loop.Do(func() { p.disconnected(c) })
 		return nil
 	})
-	_ = nc.SetOnRequest(c.onData)
+	netio.SetOnRequest(nc, c.onData)
 	if !nc.IsActive() { // the endpoint ended the connection before the callbacks were set
 		p.loop.Post(func() { p.disconnected(c) })
 		socket.Close()
--- a/internal/postgres/back/pool.go
+++ b/internal/postgres/back/pool.go
@@ -4,7 +4,7 @@
 //
 // pool.go has the pool and its endpoints, job.go the lifecycle of attempts and
 // health checks, open.go the opening of connections and connection.go the rest
-// of their lifecycle. answer.go reads answers, status.go the replication status
+// of their lifecycle. input.go receives bytes, answer.go reads answers, status.go the replication status
 // that they report.
 package back
 
@@ -61,6 +61,8 @@
 	endpoints map[uint32]*endpoint
 	conns     slotmap.Table[conn]
 	jobs      slotmap.Table[job]
+
+	readBuffer []byte // receives the bytes of any connection, inside a Do
 }
 
 var _ router.Transport = (*Pool)(nil)
@@ -90,6 +92,8 @@
 		budget:    budget,
 		events:    events,
 		endpoints: map[uint32]*endpoint{},
+
+		readBuffer: make([]byte, readBufferBytes),
 	}
 }
 
--- a/internal/postgres/front/answers.go
+++ b/internal/postgres/front/answers.go
@@ -16,6 +16,8 @@
 	// sendBatchBytes limits the answers sent at once; a single answer may be
 	// longer. Further answers wait until the kernel has accepted the batch.
 	sendBatchBytes = 64 << 10
+	// answerOverheadBytes is the size of an answer without its row, and of any error.
+	answerOverheadBytes = 128
 	// maxErrorTextBytes is the length to which the text of an error is truncated.
 	// It may quote a long statement, and the answer may stay in the queue for long.
 	maxErrorTextBytes = 200
@@ -44,7 +46,11 @@
 func (s *Server) Answer(running slotmap.Handle, answer router.Answer) {
 	if answered := s.running.Get(running); answered != nil {
 		answered.removeRunning()
-		answered.answer(wire.AppendReadyForQuery(appendAnswer(nil, answer)))
+		size := answerOverheadBytes
+		if answer.Row != nil {
+			size += len(answer.Row.Column) + len(answer.Row.Value) + len(answer.Row.Tag)
+		}
+		answered.answer(wire.AppendReadyForQuery(appendAnswer(make([]byte, 0, size), answer)))
 		answered.client.advance()
 	}
 }
--- a/internal/postgres/front/client.go
+++ b/internal/postgres/front/client.go
@@ -29,8 +29,8 @@
 	idleTimer   *clock.Deadline // runs checkIdle
 	closeTimer  *clock.Deadline // closes the connection if answers or the close take too long
 	queue       pipeline.Queue[*statement]
-	unfinished  []byte // the received part of an incomplete message
-	unreadBytes int    // reserved in server.unreadMemory
+	input       wire.Assembler
+	unreadBytes int // reserved in server.unreadMemory
 
 	started        bool // the startup message was processed
 	discarding     bool // further input is dropped without being parsed
@@ -53,7 +53,7 @@
 func (c *client) busy() bool { return c.queue.Len() > 0 || c.sending }
 
 // reserveUnread sets the reservation for unparsed input to n bytes: the capacity
-// of unfinished, and what netpoll has read beyond its buffer. It reports whether
+// of the incomplete message, and what netpoll has read beyond its buffer. It reports whether
 // the connection may go on within the memory budget; if not, the caller must end it
 // and drop the input.
 func (c *client) reserveUnread(n int) bool {
--- a/internal/postgres/front/input.go
+++ b/internal/postgres/front/input.go
@@ -25,7 +25,7 @@
 // onData processes received bytes. netpoll calls it, outside Do, and reads no
 // further bytes of the connection until it returns (netio.ReadGate). The bytes are
 // taken from the read buffer and processed inside a single Do, so that code that
-// decides whether the connection is idle sees them in the buffer, in c.unfinished
+// decides whether the connection is idle sees them in the buffer, in c.input
 // or as a queued command.
 func (c *client) onData(nc netpoll.Connection) error {
 	in := nc.Reader()
@@ -47,7 +47,7 @@
 // an incomplete one. It returns false if the connection must be closed at once.
 func (c *client) receiveBytes(data []byte) (keep bool) {
 	c.sentInDrain = c.sentInDrain || c.server.draining
-	if excess := len(data) - readBufferBytes; excess > 0 && !c.reserveUnread(cap(c.unfinished)+excess) {
+	if excess := len(data) - readBufferBytes; excess > 0 && !c.reserveUnread(c.input.Size()+excess) {
 		c.stopReading(errOutOfMemory)
 	}
 	completed := false
@@ -66,8 +66,8 @@
 		c.dropUnfinished()
 		return c.discard(len(data))
 	}
-	c.reserveUnread(cap(c.unfinished))
-	c.setPartial(len(c.unfinished) > 0, completed)
+	c.reserveUnread(c.input.Size())
+	c.setPartial(c.input.Len() > 0, completed)
 	if c.server.givingUp {
 		c.giveUp()
 	}
--- a/internal/postgres/front/partial_test.go
+++ b/internal/postgres/front/partial_test.go
@@ -76,7 +76,7 @@
 	stub.waitUntil(func() bool { return stub.onlyClient().partial })
 	stub.advance(partialTimeoutMs - 1)
 	remote.write(statement[9:9000])
-	stub.waitUntil(func() bool { return len(stub.onlyClient().unfinished) == 9000 })
+	stub.waitUntil(func() bool { return stub.onlyClient().input.Len() == 9000 })
 	stub.advance(1)
 	_ = remote.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 	remote.expect(remote.readUntil(noSuchMessage), "08P01", endOfConnection)
--- a/internal/postgres/pipeline/pipeline.go
+++ b/internal/postgres/pipeline/pipeline.go
@@ -4,6 +4,8 @@
 // reads no clock.
 package pipeline
 
+import "slices"
+
 // Window is the number of entries at the head of a queue from which commands may be
 // started. It limits how many started commands of a connection run or keep their
 // answer until earlier answers are sent.
@@ -144,7 +146,7 @@
 
 // NextAnswers removes the answers at the head of the queue, up to the first command
 // without one: as many as fit into size bytes, but at least one if there is any. It
-// returns their concatenation, the entries that were removed, and whether the
+// returns their concatenation, which must not be changed, the entries that were removed, and whether the
 // connection ends after these bytes. An entry of merged commands is removed with the
 // last of its answers.
 func (q *Queue[T]) NextAnswers(size int) (answers []byte, done []*Command[T], last bool) {
@@ -156,7 +158,11 @@
 		if len(answers) > 0 && len(answers)+len(oldest.answer) > size {
 			break
 		}
-		answers = append(answers, oldest.answer...)
+		if answers == nil { // not copied if it is the only one; clipped, as others may share it
+			answers = slices.Clip(oldest.answer)
+		} else {
+			answers = append(answers, oldest.answer...)
+		}
 		oldest.copies--
 		if oldest.copies > 0 {
 			continue
