--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 
 	"github.com/valyala/fastjson"
 
@@ -32,10 +33,13 @@
 }
 
 // EndpointIDs parses updates and assigns an ID to each endpoint name. A name keeps
-// its ID as long as the program runs. EndpointIDs is not safe for concurrent use.
+// its ID as long as the program runs. EndpointIDs is safe for concurrent use: while
+// discovery moves to another address, the watches on both parse their lists.
 type EndpointIDs struct {
 	zones []string
-	ids   map[string]uint32 // by endpoint name
+
+	mu  sync.Mutex
+	ids map[string]uint32 // by endpoint name
 }
 
 // NewEndpointIDs returns an EndpointIDs that has assigned no IDs. zones are the
@@ -96,6 +100,8 @@
 
 // id returns the ID of an endpoint name, and assigns one to a new name.
 func (e *EndpointIDs) id(name string) uint32 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	id, ok := e.ids[name]
 	if !ok {
 		id = uint32(len(e.ids) + 1)
--- a/internal/discovery/update_test.go
+++ b/internal/discovery/update_test.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strings"
+	"sync"
 	"testing"
 
 	"lotusbend/decide"
@@ -70,3 +72,52 @@
 		t.Errorf("parsed %d of %d endpoints in groups of four, %v", len(update.Endpoints), count, err)
 	}
 }
+
+// Two watches parse their lists at the same time while discovery moves. Concurrent
+// access to the IDs ended the program, or could give one ID to two endpoints.
+func TestConcurrentListsShareEndpointIDs(t *testing.T) {
+	const watches, endpoints, lists = 4, 500, 5
+	ids := NewEndpointIDs(nil)
+	byName := make([]map[string]uint32, watches)
+	var running sync.WaitGroup
+	for watch := range watches {
+		byName[watch] = map[string]uint32{}
+		running.Go(func() {
+			for list := range lists { // each has new names, in another order for each watch
+				update, err := ids.ParseBytes(rotatedList(endpoints, list, watch*endpoints/watches))
+				if err != nil {
+					t.Error(err)
+				}
+				for _, endpoint := range update.Endpoints {
+					byName[watch][endpoint.Name] = endpoint.ID
+				}
+			}
+		})
+	}
+	running.Wait()
+	names := map[uint32]string{}
+	for name, id := range byName[0] {
+		if other, taken := names[id]; taken {
+			t.Errorf("endpoints %q and %q have the same ID %d", name, other, id)
+		}
+		names[id] = name
+		for watch := range watches {
+			if byName[watch][name] != id {
+				t.Errorf("endpoint %q has the IDs %d and %d", name, id, byName[watch][name])
+			}
+		}
+	}
+	if len(names) != endpoints*lists {
+		t.Errorf("%d endpoints have IDs, want %d", len(names), endpoints*lists)
+	}
+}
+
+// rotatedList returns a list of n endpoints whose names no list of another number has,
+// beginning with the given one.
+func rotatedList(n, list, first int) []byte {
+	entries := make([]string, n)
+	for i := range entries {
+		entries[i] = fmt.Sprintf(`{"name":"s-%d-%d","address":"127.0.0.1:1","status":"ready"}`, list, (first+i)%n)
+	}
+	return fmt.Appendf(nil, `{"index":1,"snapshot":true,"endpoints":[%s]}`, strings.Join(entries, ","))
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -35,8 +35,8 @@
 
 // Run watches the endpoint list until ctx is done. It first requests the whole
 // list, unless the schedule resumes from a list that the router holds, and then
-// the changes. It blocks. It uses IDs and Schedule outside the loop's Do, and no
-// one else may use them until it returns.
+// the changes. It blocks. It uses IDs and Schedule outside the loop's Do; no one else
+// may use the Schedule until it returns.
 func (w *Watcher) Run(ctx context.Context) {
 	delay := w.Schedule.InitialDelay()
 	for {
