Let other goroutines run between callbacks, writes and deadlines

Cause: with one processor netpoll's poller and a callback's goroutine wake each other, and the scheduler runs a goroutine that was just woken before those in its queue. A dump of a bad phase had some 1,200 goroutines that had not run yet: writes, closings, deadlines. The writes of a connection and the firing of deadlines kept the processor in the same way. Change: the poller lets all others run before each callback, a connection's writes after each batch, Loop.Fire after each eight deadlines. Measured: TestOtherGoroutinesRunBetweenCallbacks (0 of 100 ran) and ...BetweenWrites failed before. The process-level tests guard; they passed before as well.

--- a/internal/clock/loop.go
+++ b/internal/clock/loop.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"time"
 
 	"lotusbend/internal/timerheap"
 )
 
+// maxFiredAtOnce is how many deadlines run before other events get their turn. One
+// client can have thousands of statements that expire at the same time.
+const maxFiredAtOnce = 8
+
 // Loop is the event loop that serializes access to the program's state. All code
 // that uses the decision module, a slot table or a connection pool runs inside
 // Do, one call at a time, and must not block there. The loop also holds all
@@ -91,18 +96,31 @@
 }
 
 // Fire runs all deadlines that are due, in the order of their times. The functions
-// that one of them posts run before the next one. It must not be called inside Do.
+// that one of them posts run before the next one. After each maxFiredAtOnce deadlines
+// other events get their turn. It must not be called inside Do.
 func (l *Loop) Fire() {
+	var until float64
+	l.Do(func() { until = l.now })
+	for l.fireSome(until) {
+		runtime.Gosched()
+	}
+}
+
+// fireSome runs up to maxFiredAtOnce deadlines that are due at a time in milliseconds,
+// and reports whether there may be more.
+func (l *Loop) fireSome(until float64) (more bool) {
 	l.Do(func() {
-		for {
-			fn, due := l.deadlines.PopDue(l.now)
+		for range maxFiredAtOnce {
+			fn, due := l.deadlines.PopDue(until)
 			if !due {
 				return
 			}
 			fn()
 			l.drain()
 		}
+		more = true
 	})
+	return more
 }
 
 // Next returns the time of the earliest deadline, in milliseconds, and whether
--- a/internal/clock/loop_test.go
+++ b/internal/clock/loop_test.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"runtime"
 	"slices"
 	"testing"
 )
@@ -60,3 +61,32 @@
 		}
 	})
 }
+
+// Thousands of deadlines may be due at once, as when the statements of one client
+// expire. Other events must run between them.
+func TestOtherEventsRunBetweenDueDeadlines(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const deadlines = 1000
+	c := Manual(1000)
+	l := NewLoop(c)
+	fired, firedBefore := 0, -1
+	l.Do(func() {
+		for range deadlines {
+			l.At(1010, func() { fired++ })
+		}
+	})
+	c.Set(1010)
+	other := make(chan struct{})
+	go func() {
+		l.Do(func() { firedBefore = fired })
+		close(other)
+	}()
+	l.Fire()
+	if fired != deadlines {
+		t.Errorf("Fire() ran %d deadlines, want %d", fired, deadlines)
+	}
+	<-other
+	if firedBefore == deadlines {
+		t.Errorf("another event ran after all %d deadlines, want between them", deadlines)
+	}
+}
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"net"
+	"runtime"
 	"sync"
 	"syscall"
 
@@ -86,6 +87,8 @@
 		if err != nil {
 			c.Close()
 		}
+		// A peer that reads fast and has much to receive must not keep the processor.
+		runtime.Gosched()
 	}
 }
 
--- a/internal/netio/readgate.go
+++ b/internal/netio/readgate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 
 	"github.com/cloudwego/netpoll"
@@ -93,7 +94,13 @@
 // ReadGate, it first waits for the connections that are being closed, and then for
 // the callbacks. For any other, as for dialled connections, see runUngated. netpoll
 // calls it in the poller's goroutine.
+//
+// It first lets all other goroutines run. The poller and the goroutine of a callback
+// wake each other, and the scheduler runs a goroutine that was just woken before those
+// that are waiting: under a flood the writes, closings and deadlines of other
+// connections would wait for seconds, and their memory would accumulate.
 func runCallback(ctx context.Context, callback func()) {
+	runtime.Gosched()
 	gate, ok := ctx.Value(readGateKey{}).(*ReadGate)
 	if !ok {
 		runUngated(callback)
--- a/internal/netio/readgate_test.go
+++ b/internal/netio/readgate_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -162,3 +163,60 @@
 		t.Errorf("%d bytes were read before the callback ran, want at most %d", n, maxReadBytes)
 	}
 }
+
+// Under a flood the poller always has a callback to start. Goroutines that wait for the
+// processor must run all the same: among them are the writes, closings and deadlines of
+// other connections, which waited for seconds while their memory accumulated.
+func TestOtherGoroutinesRunBetweenCallbacks(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const waiting, callbacks = 100, 20
+	for name, ctx := range map[string]context.Context{
+		"gated":   WithReadGate(context.Background(), NewReadGate()),
+		"ungated": context.Background(),
+	} {
+		var ran atomic.Int32
+		var running sync.WaitGroup
+		for range waiting {
+			running.Go(func() { ran.Add(1) })
+		}
+		for range callbacks {
+			runCallback(ctx, func() {})
+		}
+		if ran.Load() < waiting {
+			t.Errorf("%s: %d of %d waiting goroutines ran during %d callbacks, want all",
+				name, ran.Load(), waiting, callbacks)
+		}
+		running.Wait()
+	}
+}
+
+// A peer that reads fast and has much to receive must not keep the processor: other
+// goroutines run between two writes of one queue.
+func TestOtherGoroutinesRunBetweenWrites(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const writes = 50
+	conn := NewConn(discardConn{})
+	finished := make(chan struct{})
+	sent, ranAt := 0, 0
+	var next func(error)
+	next = func(error) {
+		if sent++; sent == writes {
+			close(finished)
+			return
+		}
+		if sent == 1 { // a goroutine that waits for the processor from now on
+			go func() { ranAt = sent }()
+		}
+		conn.Send([]byte("x"), next)
+	}
+	conn.Send([]byte("x"), next)
+	<-finished
+	if ranAt == 0 || ranAt > 5 {
+		t.Errorf("a waiting goroutine ran after %d of %d writes, want at most 5", ranAt, writes)
+	}
+}
+
+// discardConn is a connection that accepts all writes at once.
+type discardConn struct{ net.Conn }
+
+func (discardConn) Write(b []byte) (int, error) { return len(b), nil }
