Reject a statement if 1,024 commands of its connection are queued

Seen by callers: one client that sent sound reads at full speed delayed the reads of others by 120 to 580 ms, again and again. Cause: it could queue some 15,000 small statements within its memory; they expire together. A processor profile of the stall has nothing but the answers and starts of these. Change: past 1,024 queued commands a statement gets 53300 in its turn, as without memory. Measured: TestStatementsPastTheQueueAreRejected hung before (no statement was rejected).

--- a/internal/postgres/front/commands.go
+++ b/internal/postgres/front/commands.go
@@ -9,6 +9,11 @@
 // its text or answer.
 const commandOverheadBytes = 256
 
+// maxQueuedCommands is how many commands a connection may have queued for a further
+// statement to be accepted. Statements of one client that expire together would
+// otherwise hold up all others.
+const maxQueuedCommands = 1024
+
 // copiesOfStatement is how often a statement under way is in memory: as its text,
 // and as the message that is being written to an endpoint.
 const copiesOfStatement = 2
@@ -62,14 +67,16 @@
 
 // receiveStatement parses and queues a statement. If the memory budget is
 // exhausted, it queues an error in its place, except that each connection may
-// always have one statement of up to smallMessageBytes.
+// always have one statement of up to smallMessageBytes. It also does so if too many
+// commands of the connection are queued.
 func (c *client) receiveStatement(text []byte) error {
 	if !c.active {
 		c.active = true
 		c.server.activeClients++
 	}
 	size := commandOverheadBytes + copiesOfStatement*len(text)
-	if !c.server.queuedMemory.Fits(size) && (c.queue.Len() > 0 || len(text) > smallMessageBytes) {
+	outOfMemory := !c.server.queuedMemory.Fits(size) && (c.queue.Len() > 0 || len(text) > smallMessageBytes)
+	if outOfMemory || c.queue.Len() >= maxQueuedCommands {
 		c.rejectStatement()
 		return nil
 	}
--- a/internal/postgres/front/commands_test.go
+++ b/internal/postgres/front/commands_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -157,3 +158,27 @@
 	stub.answer(1)
 	remote.expect(remote.readUntil("Z"), "value1")
 }
+
+// A client may queue only so many statements, so that those of one client, expiring
+// together, do not hold up all others. Further ones are rejected in their turn.
+func TestStatementsPastTheQueueAreRejected(t *testing.T) {
+	stub := newStub(t, 100)
+	remote := stub.connect()
+	var b []byte
+	for n := range maxQueuedCommands + 3 {
+		b = append(b, writeQuery(n)...)
+	}
+	go func() { _, _ = remote.conn.Write(b) }() // fails if the test ends early
+	stub.waitUntil(func() bool {
+		c := stub.onlyClient()
+		return c != nil && c.queue.Commands() == maxQueuedCommands+3
+	})
+	for n := range maxQueuedCommands {
+		stub.waitSubmitted(n + 1)
+		stub.answer(n)
+		remote.expect(remote.readUntil("Z"), fmt.Sprint("value", n))
+	}
+	for range 3 {
+		remote.expect(remote.readUntil("Z"), wire.CodeTooManyConnections)
+	}
+}
