Drop groups that only clients have named

Cause: decide kept a group for each number that a client named and walked all at each tick. Change: at each tick, groups that the endpoint list has never named and that no request is for are dropped. Measured: TestUnlistedGroupsAreDroppedWithTheirRequests failed before (1,001 groups kept).

--- a/decide/admission.go
+++ b/decide/admission.go
@@ -99,6 +99,7 @@
 	for _, group := range r.orderedGroups {
 		r.drainQueue(group, now)
 	}
+	r.dropUnlistedGroups()
 }
 
 // drainQueue sends the queued requests of a group as far as there is capacity,
--- a/decide/endpoint.go
+++ b/decide/endpoint.go
@@ -1,6 +1,9 @@
 package decide
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // trackedEndpoint is the router's state of one endpoint.
 type trackedEndpoint struct {
@@ -40,6 +43,9 @@
 
 // replicaGroup is the state of a primary and its replicas.
 type replicaGroup struct {
+	number           int
+	listed           bool // the endpoint list has named an endpoint of it
+	requests         int  // number of tracked requests to it
 	endpoints        []*trackedEndpoint
 	primary          *trackedEndpoint // assumed primary, nil if unknown
 	announcedPrimary *trackedEndpoint // primary named by the endpoint list
@@ -54,13 +60,28 @@
 func (r *Router) group(number int) *replicaGroup {
 	group := r.groups[number]
 	if group == nil {
-		group = &replicaGroup{sessions: sessionCommits{commits: map[uint64]sessionCommit{}}}
+		group = &replicaGroup{
+			number:   number,
+			sessions: sessionCommits{commits: map[uint64]sessionCommit{}},
+		}
 		r.groups[number] = group
 		r.orderedGroups = append(r.orderedGroups, group)
 	}
 	return group
 }
 
+// dropUnlistedGroups drops the groups that the endpoint list has never named and that no
+// request is for. Clients can name any group.
+func (r *Router) dropUnlistedGroups() {
+	r.orderedGroups = slices.DeleteFunc(r.orderedGroups, func(group *replicaGroup) bool {
+		unused := !group.listed && group.requests == 0
+		if unused {
+			delete(r.groups, group.number)
+		}
+		return unused
+	})
+}
+
 // isPrimary reports whether the endpoint is the assumed primary of its group.
 func (e *trackedEndpoint) isPrimary() bool { return e.group.primary == e }
 
--- a/decide/endpointlist.go
+++ b/decide/endpointlist.go
@@ -94,6 +94,7 @@
 	endpoint.StartedAt = neverStarted
 	r.endpoints[entry.ID] = endpoint
 	r.ordered = append(r.ordered, endpoint)
+	endpoint.group.listed = true
 	endpoint.group.endpoints = append(endpoint.group.endpoints, endpoint)
 	return endpoint
 }
--- a/decide/request.go
+++ b/decide/request.go
@@ -87,6 +87,7 @@
 	if r.cfg.SessionTokens && arrived.SinceCommit > 0 {
 		request.tokenPosition = now - arrived.SinceCommit + tokenAgeRounding
 	}
+	request.group.requests++
 	r.requests[arrived.ID] = request
 	r.active.pushBack(request)
 	return request
@@ -156,9 +157,10 @@
 func (r *Router) finish(request *trackedRequest) {
 	request.answered = true
 	request.queued = false
-	if request.inFlight == 0 {
+	if request.inFlight == 0 && r.requests[request.ID] == request {
 		r.active.remove(request)
 		delete(r.requests, request.ID)
+		request.group.requests--
 	}
 }
 
