Count answers that are being sent in the memory budget

Seen by callers: clients that sent reads at full speed and read no answer drove a router of 32 MB to 39.5 (650 clients) and 43.6 MiB (310), where the platform kills it. Cause: an answer left the budget when it was passed to its connection, which held a batch of up to 64 KiB twice per client that does not read; and the oldest statement of a connection needed no room for its answer. A heap profile had Conn.Send and netpoll's buffers on top. Change: what is being sent counts, twice, until the kernel has it; without room batches have 8 KiB, and a row of over 8 KiB is replaced by 53300 for a read, 57014 for a write; a batch is built in one buffer of its size.

--- a/cmd/lotusbend/flood_test.go
+++ b/cmd/lotusbend/flood_test.go
@@ -227,3 +227,18 @@
 		}
 	}
 }
+
+// Clients that send reads of large values at full speed and read no answer must not
+// drive the router over its memory limit: what is being sent to them counts, too.
+func TestUnreadAnswersStayWithinMemoryLimit(t *testing.T) {
+	program := startMemoryProgram(t, 32, 512, startValueHosts(t, 60_000)...)
+	stop := make(chan struct{})
+	read := numbered(`SELECT doc FROM items WHERE id = 'x' /* id=%d,c=view,d=1000,cluster=1 */`)
+	flood{clients: 310, connection: sendForever(false, read)}.run(program.address, stop)
+	most := program.watch(4 * time.Second)
+	close(stop)
+	t.Logf("at most %d MiB", most)
+	if most > program.limit {
+		t.Errorf("the router used %d MiB, want at most %d", most, program.limit)
+	}
+}
--- a/internal/postgres/front/answers.go
+++ b/internal/postgres/front/answers.go
@@ -16,6 +16,9 @@
 	// sendBatchBytes limits the answers sent at once; a single answer may be
 	// longer. Further answers wait until the kernel has accepted the batch.
 	sendBatchBytes = 64 << 10
+	// copiesOfSent is how often answers that are being sent are in memory: as passed to
+	// the connection, and in netpoll's write buffer.
+	copiesOfSent = 2
 	// answerOverheadBytes is the size of an answer without its row, and of any error.
 	answerOverheadBytes = 128
 	// maxErrorTextBytes is the length to which the text of an error is truncated.
@@ -44,15 +47,29 @@
 
 // Answer implements router.Client; running is the handle of a running statement.
 func (s *Server) Answer(running slotmap.Handle, answer router.Answer) {
-	if answered := s.running.Get(running); answered != nil {
-		answered.removeRunning()
-		size := answerOverheadBytes
-		if answer.Row != nil {
-			size += len(answer.Row.Column) + len(answer.Row.Value) + len(answer.Row.Tag)
+	answered := s.running.Get(running)
+	if answered == nil {
+		return
+	}
+	answered.removeRunning()
+	size := answerOverheadBytes
+	if row := answer.Row; row != nil {
+		size += len(row.Column) + len(row.Value) + len(row.Tag)
+		if size > smallMessageBytes && !s.queuedMemory.Fits(size-answered.reservedBytes) {
+			answer = withoutMemory(answered)
 		}
-		answered.answer(wire.AppendReadyForQuery(appendAnswer(make([]byte, 0, size), answer)))
-		answered.client.advance()
 	}
+	answered.answer(wire.AppendReadyForQuery(appendAnswer(make([]byte, 0, size), answer)))
+	answered.client.advance()
+}
+
+// withoutMemory returns the answer to a served statement whose row exceeds the memory
+// budget: a read can safely be retried, a write was executed.
+func withoutMemory(served *statement) router.Answer {
+	if served.command.Write {
+		return router.Answer{Verdict: router.Failed}
+	}
+	return router.Answer{Verdict: router.Rejected}
 }
 
 // appendAnswer appends the messages of a router's answer, without the
@@ -89,14 +106,21 @@
 	if c.sending || c.released || c.closing {
 		return
 	}
-	answers, done, last := c.queue.NextAnswers(sendBatchBytes)
+	answers, done, last := c.queue.NextAnswers(c.server.batchBytes())
 	for _, command := range done {
 		command.Value.setReservedBytes(0)
 	}
 	loop := c.server.loop
 	if len(answers) > 0 {
 		c.sending = true
-		c.conn.Send(answers, func(err error) { loop.Do(func() { c.answersSent(err) }) })
+		sendingBytes := copiesOfSent * len(answers)
+		c.server.queuedMemory.Reserve(sendingBytes)
+		c.conn.Send(answers, func(err error) {
+			loop.Do(func() {
+				c.server.queuedMemory.Reserve(-sendingBytes)
+				c.answersSent(err)
+			})
+		})
 		loop.Cancel(c.closeTimer)
 		c.closeTimer = loop.At(loop.Now()+writeTimeoutMs, c.conn.Close)
 	}
@@ -105,6 +129,15 @@
 	}
 }
 
+// batchBytes returns the size of a batch of answers: less than usual if its copies do
+// not fit into the memory budget, as many clients may not read theirs.
+func (s *Server) batchBytes() int {
+	if s.queuedMemory.Fits(copiesOfSent * sendBatchBytes) {
+		return sendBatchBytes
+	}
+	return smallMessageBytes
+}
+
 // answersSent handles the end of a write of answers. If the write failed, the
 // client has disconnected or was disconnected, and no further statement of it is
 // executed.
--- a/internal/postgres/front/memory_test.go
+++ b/internal/postgres/front/memory_test.go
@@ -268,3 +268,44 @@
 	last := remotes[len(remotes)-1]
 	last.expect(last.readUntil(noSuchMessage), "53200", endOfConnection)
 }
+
+// Answers that are being sent count in the memory budget until the kernel has accepted
+// them, and a large answer that does not fit is replaced: a read is rejected, as it can
+// safely be retried, a write has failed, as it was executed.
+func TestAnswersPastMemoryBudgetAreReplaced(t *testing.T) {
+	stub := newStub(t, 100)
+	remote := stub.connect()
+	large := strings.Repeat("v", 60<<10)
+	answer := func(n int) {
+		row := &router.Row{Column: []byte("doc"), Value: []byte(large), Tag: []byte("SELECT 1")}
+		answered := stub.submitted[n]
+		answered.from.Answer(answered.client, router.Answer{Verdict: router.Served, Row: row})
+	}
+	for n, c := range []struct {
+		query    []byte
+		exceeded bool
+		want     string
+	}{
+		{query: readQuery(1), want: large},
+		{query: readQuery(2), exceeded: true, want: wire.CodeTooManyConnections},
+		{query: writeQuery(3), exceeded: true, want: wire.CodeQueryCanceled},
+	} {
+		remote.write(c.query)
+		stub.waitSubmitted(n + 1)
+		stub.loop.Do(func() {
+			used := 0
+			if c.exceeded {
+				used = testMemoryMiB << 20
+			}
+			stub.server.queuedMemory.Reserve(used)
+			before := stub.server.queuedMemory.Used()
+			answer(n)
+			if sending := stub.server.queuedMemory.Used() - before; !c.exceeded && sending < len(large) {
+				t.Errorf("%d bytes are reserved while %d are being sent", sending, len(large))
+			}
+			stub.server.queuedMemory.Reserve(-used)
+		})
+		remote.expect(remote.readUntil("Z"), c.want)
+	}
+	stub.waitUntil(func() bool { return stub.reservedBytes() == 0 })
+}
--- a/internal/postgres/pipeline/pipeline.go
+++ b/internal/postgres/pipeline/pipeline.go
@@ -4,8 +4,6 @@
 // reads no clock.
 package pipeline
 
-import "slices"
-
 // Window is the number of entries at the head of a queue from which commands may be
 // started. It limits how many started commands of a connection run or keep their
 // answer until earlier answers are sent.
@@ -146,10 +144,14 @@
 
 // NextAnswers removes the answers at the head of the queue, up to the first command
 // without one: as many as fit into size bytes, but at least one if there is any. It
-// returns their concatenation, which must not be changed, the entries that were removed, and whether the
-// connection ends after these bytes. An entry of merged commands is removed with the
-// last of its answers.
+// returns their concatenation, which must not be changed, the entries that were removed,
+// and whether the connection ends after these bytes. An entry of merged commands is
+// removed with the last of its answers.
 func (q *Queue[T]) NextAnswers(size int) (answers []byte, done []*Command[T], last bool) {
+	total := q.nextAnswersBytes(size)
+	if len(q.commands) > 0 && total > len(q.commands[0].answer) {
+		answers = make([]byte, 0, total)
+	}
 	for len(q.commands) > 0 && !last {
 		oldest := q.commands[0]
 		if oldest.state != answered {
@@ -158,8 +160,8 @@
 		if len(answers) > 0 && len(answers)+len(oldest.answer) > size {
 			break
 		}
-		if answers == nil { // not copied if it is the only one; clipped, as others may share it
-			answers = slices.Clip(oldest.answer)
+		if total == len(oldest.answer) { // not copied if it is the only one
+			answers = oldest.answer
 		} else {
 			answers = append(answers, oldest.answer...)
 		}
@@ -175,6 +177,27 @@
 	return answers, done, last
 }
 
+// nextAnswersBytes returns the length of the answers that NextAnswers would return.
+func (q *Queue[T]) nextAnswersBytes(size int) (total int) {
+	for _, c := range q.commands {
+		if c.state != answered {
+			break
+		}
+		fitting := c.copies
+		if length := len(c.answer); length > 0 {
+			fitting = min(fitting, max(size-total, 0)/length)
+		}
+		if total == 0 {
+			fitting = max(fitting, 1)
+		}
+		total += fitting * len(c.answer)
+		if fitting < c.copies || c.last {
+			break
+		}
+	}
+	return total
+}
+
 // Each calls do for every entry, the oldest first.
 func (q *Queue[T]) Each(do func(*Command[T])) {
 	for _, c := range q.commands {
