Drop what closed clients sent, and keep the ids of their writes taken

Cause: the end of a connection counts once all bytes before it are read, and each statement in them was processed; an id was free as soon as its client had left. Change: each read asks the kernel whether the client has closed (TCP_INFO); then no statement of it is processed. A CancelRequest is still processed.

--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -17,6 +17,16 @@
 // being written. A peer that lets more accumulate is disconnected.
 const maxQueuedBytes = 1 << 20
 
+// States of a TCP connection whose peer has closed its side, in the first byte of the
+// kernel's tcp_info.
+const (
+	tcpStateMask = 0xff
+	tcpClosed    = 7
+	tcpCloseWait = 8
+	tcpLastAck   = 9
+	tcpClosing   = 11
+)
+
 // ErrUnsent is the error of a Send whose bytes were not all passed to the operating
 // system, because the peer does not read or the connection is closing or closed.
 var ErrUnsent = errors.New("netio: data not written: the peer does not read or the connection is closed")
@@ -145,6 +155,26 @@
 	return !ok || buffered.Reader().Len() == 0
 }
 
+// PeerClosed reports whether the peer has closed its side of the connection, although
+// received bytes may still be unread.
+func (c *Conn) PeerClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	socket, ok := c.nc.(interface{ Fd() int })
+	if !ok || c.closed {
+		return false
+	}
+	info, err := syscall.GetsockoptInt(socket.Fd(), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+	if err != nil {
+		return false
+	}
+	switch info & tcpStateMask {
+	case tcpClosed, tcpCloseWait, tcpLastAck, tcpClosing:
+		return true
+	}
+	return false
+}
+
 // Finish accepts no more bytes and half-closes the connection once the operating
 // system has accepted the queued ones.
 func (c *Conn) Finish() {
--- a/internal/postgres/front/client.go
+++ b/internal/postgres/front/client.go
@@ -24,6 +24,7 @@
 	starting    bool            // startCommands is on the stack
 	sentInDrain bool            // it has sent something since the drain began
 	givenUp     bool            // its statements no longer wait for endpoints
+	gone        bool            // the client has closed its side, though input may be unread
 	skipping    bool            // after an error in the extended protocol: ignores messages up to Sync
 	idleSince   float64         // Unix milliseconds of the last beginIdle
 	idleTimer   *clock.Deadline // runs checkIdle
--- a/internal/postgres/front/commands.go
+++ b/internal/postgres/front/commands.go
@@ -22,7 +22,7 @@
 // Do. If it returns an error, the connection must be ended after the answers to
 // earlier commands.
 func (c *client) receive(kind byte, body []byte) error {
-	if c.closing { // ignored: the client retries on another connection after the half-close
+	if c.closing || c.gone { // after a half-close the client retries on another connection
 		return nil
 	}
 	switch {
@@ -185,8 +185,7 @@
 		abandoned.setReservedBytes(0)
 		c.server.loop.Cancel(abandoned.deadlineTimer)
 		if command.Running() {
-			abandoned.removeRunning()
-			c.server.handler.ClientCancelled(abandoned.requestHandle)
+			abandoned.cancelRunning()
 		}
 	})
 	c.queue.Clear()
@@ -205,8 +204,7 @@
 		return
 	}
 	cancelled := command.Value
-	cancelled.removeRunning()
-	s.handler.ClientCancelled(cancelled.requestHandle)
+	cancelled.cancelRunning()
 	cancelled.answer(cancelledAnswer)
 	c.advance()
 }
--- a/internal/postgres/front/front.go
+++ b/internal/postgres/front/front.go
@@ -68,7 +68,7 @@
 	handler        RequestHandler
 	clients        slotmap.Table[client]
 	running        slotmap.Table[statement] // statements submitted and not answered
-	runningIDs     map[string]struct{}      // the client-chosen identifiers of running statements
+	identifiers    *identifiers             // client-chosen, of statements that may run
 	events         netpoll.EventLoop
 	listener       net.Listener
 	draining       bool
@@ -91,11 +91,11 @@
 		return nil, err
 	}
 	s := &Server{
-		loop:       loop,
-		budget:     budget,
-		handler:    handler,
-		listener:   listener,
-		runningIDs: map[string]struct{}{},
+		loop:        loop,
+		budget:      budget,
+		handler:     handler,
+		listener:    listener,
+		identifiers: newIdentifiers(),
 	}
 	s.SetMemoryLimit(memoryMiB)
 	s.events, err = netpoll.NewEventLoop(
--- a/internal/postgres/front/input.go
+++ b/internal/postgres/front/input.go
@@ -33,8 +33,14 @@
 	var err error
 	c.server.loop.Do(func() {
 		var data []byte
-		if data, err = in.Next(in.Len()); err == nil {
-			keep = c.receiveBytes(data)
+		if data, err = in.Next(in.Len()); err != nil {
+			return
+		}
+		c.gone = c.conn.PeerClosed()
+		keep = c.receiveBytes(data)
+		if c.gone && c.started { // a CancelRequest has no answer, so its client need not wait
+			c.disconnected()
+			keep = false
 		}
 	})
 	if err != nil || !keep {
--- a/internal/postgres/front/statement.go
+++ b/internal/postgres/front/statement.go
@@ -84,20 +84,17 @@
 	return max(hash.Sum64(), 1)
 }
 
-// start submits a statement, or answers it with an error if another running
-// statement has the same identifier. timeLeft is the time until the client's
+// start submits a statement, or answers it with an error if another statement with the
+// same identifier may still run. timeLeft is the time until the client's
 // deadline, in milliseconds.
 func (c *client) start(next *statement, timeLeft float64) {
 	server := c.server
 	server.loop.Cancel(next.deadlineTimer)
-	// Neither this router nor an endpoint could tell the answers of two running
-	// statements with the same identifier apart.
-	if _, taken := server.runningIDs[next.id]; taken {
+	if !server.identifiers.take(next.id, server.loop.Now()) {
 		next.answer(errorAnswer(wire.CodeSyntaxError, "the id of another request that is under way"))
 		c.advance()
 		return
 	}
-	server.runningIDs[next.id] = struct{}{}
 	next.command.Start()
 	next.runningHandle = server.running.Add(next)
 	next.request.TimeLeft = max(timeLeft, 0)
@@ -111,7 +108,19 @@
 func (s *statement) removeRunning() {
 	server := s.client.server
 	server.running.Remove(s.runningHandle)
-	delete(server.runningIDs, s.id)
+	server.identifiers.release(s.id)
+}
+
+// cancelRunning ends a running statement that its client no longer waits for. An
+// endpoint may still execute it: the identifier of a write stays taken until the write's
+// deadline, so that it does not run again if it is sent again.
+func (s *statement) cancelRunning() {
+	server := s.client.server
+	s.removeRunning()
+	if s.command.Write {
+		server.identifiers.keep(s.id, server.loop.Now(), s.receivedAt+s.request.TimeLeft)
+	}
+	server.handler.ClientCancelled(s.requestHandle)
 }
 
 // answer sets the answer to s, which is sent once earlier commands are answered,
