--- a/internal/netio/readgate_test.go
+++ b/internal/netio/readgate_test.go
@@ -197,22 +197,23 @@
 	const writes = 50
 	conn := NewConn(discardConn{})
 	finished := make(chan struct{})
-	sent, ranAt := 0, 0
+	var sent, ranAt atomic.Int32
 	var next func(error)
 	next = func(error) {
-		if sent++; sent == writes {
+		count := sent.Add(1)
+		if count == writes {
 			close(finished)
 			return
 		}
-		if sent == 1 { // a goroutine that waits for the processor from now on
-			go func() { ranAt = sent }()
+		if count == 1 { // a goroutine that waits for the processor from now on
+			go func() { ranAt.Store(sent.Load()) }()
 		}
 		conn.Send([]byte("x"), next)
 	}
 	conn.Send([]byte("x"), next)
 	<-finished
-	if ranAt == 0 || ranAt > 5 {
-		t.Errorf("a waiting goroutine ran after %d of %d writes, want at most 5", ranAt, writes)
+	if after := ranAt.Load(); after == 0 || after > 5 {
+		t.Errorf("a waiting goroutine ran after %d of %d writes, want at most 5", after, writes)
 	}
 }
 
